--- /dev/null
+++ b/src/settings/settings.ts
@@ -0,0 +1,147 @@
+/** Settings of `anvilrouted`: TOML text to checked, read-only values. */
+import * as Toml from "smol-toml";
+import { Ok, type Result } from "ts-results-es";
+import * as ResultCodes from "../result_codes.ts";
+import type * as Types from "../types.ts";
+import * as Check from "./check.ts";
+
+/** Checked settings of an entry instance. */
+export interface Settings {
+  readonly instance: {
+    readonly id: Types.InstanceId;
+    readonly domain: Types.Domain;
+    readonly region: Types.Region;
+  };
+  readonly listen: {
+    /** Callers: look-up and forwarding. */
+    readonly caller: Types.Address;
+    /** Operators' probes: /healthz and /metrics. */
+    readonly probe: Types.Address;
+    /** Peers and the operators' tool. */
+    readonly peer: Types.Address;
+  };
+  /** Addresses that others use; equal to `listen` unless given. */
+  readonly advertise: {
+    readonly caller: Types.Address;
+    readonly peer: Types.Address;
+  };
+  readonly platform: {
+    readonly address: Types.Address;
+    readonly timeoutMs: number;
+  };
+  readonly peers: {
+    readonly seeds: readonly Types.Address[];
+    readonly secret: string;
+  };
+  readonly lease: { readonly ttlMs: number; readonly renewMs: number };
+  readonly keys: {
+    readonly stalenessLimitMs: number;
+    readonly whenIsolated: "refuse" | "serve";
+  };
+  readonly lookup: { readonly maxAgeMs: number };
+  readonly limits: {
+    readonly maxBodyBytes: number;
+    readonly bufferBytes: number;
+    readonly ledgerEntries: number;
+    readonly ledgerBytes: number;
+  };
+  readonly log: { readonly level: "debug" | "info" | "warn" | "error" };
+}
+
+const MIN_SECRET_CHARS = 16;
+
+/** Parses and checks settings; a failure names every wrong setting, one per line. */
+export function parseSettings(
+  text: string,
+): Result<Settings, ResultCodes.Failure> {
+  let raw: Toml.TomlTable;
+  try {
+    raw = Toml.parse(text);
+  } catch (err) {
+    return ResultCodes.fail("settingsSyntax", String(err));
+  }
+  const reader = Check.createReader(raw);
+  const settings = readSettings(reader);
+  const errors = reader.finish();
+  if (errors.length > 0) {
+    return ResultCodes.fail("settingsValue", errors.join("\n"));
+  }
+  return Ok(settings);
+}
+
+function readSettings(r: Check.Reader): Settings {
+  const listen = {
+    caller: r.address("listen.caller"),
+    probe: r.address("listen.probe"),
+    peer: r.address("listen.peer"),
+  };
+  const lease = {
+    ttlMs: r.integer("lease.ttl_ms", 2_000, 120_000, 10_000),
+    renewMs: r.integer("lease.renew_ms", 200, 60_000, 3_000),
+  };
+  r.require(
+    "lease.renew_ms",
+    lease.renewMs,
+    lease.renewMs * 2 < lease.ttlMs,
+    "less than half of lease.ttl_ms",
+  );
+  return {
+    instance: {
+      id: r.name("instance.id"),
+      domain: r.name("instance.domain"),
+      region: r.name("instance.region"),
+    },
+    listen,
+    advertise: {
+      caller: r.address("advertise.caller", listen.caller),
+      peer: r.address("advertise.peer", listen.peer),
+    },
+    platform: {
+      address: r.address("platform.address"),
+      timeoutMs: r.integer("platform.timeout_ms", 50, 30_000, 1_000),
+    },
+    peers: {
+      seeds: r.addresses("peers.seeds"),
+      secret: r.text("peers.secret", MIN_SECRET_CHARS),
+    },
+    lease,
+    keys: {
+      stalenessLimitMs: r.integer(
+        "keys.staleness_limit_ms",
+        500,
+        3_600_000,
+        4_000,
+      ),
+      whenIsolated: r.choice(
+        "keys.when_isolated",
+        ["refuse", "serve"],
+        "refuse",
+      ),
+    },
+    lookup: { maxAgeMs: r.integer("lookup.max_age_ms", 100, 60_000, 5_000) },
+    limits: {
+      maxBodyBytes: r.integer(
+        "limits.max_body_bytes",
+        1,
+        1e9,
+        16 * 1024 * 1024,
+      ),
+      bufferBytes: r.integer(
+        "limits.buffer_bytes",
+        1_024,
+        16 * 1024 * 1024,
+        256 * 1024,
+      ),
+      ledgerEntries: r.integer("limits.ledger_entries", 100, 1e7, 50_000),
+      ledgerBytes: r.integer(
+        "limits.ledger_bytes",
+        65_536,
+        1e9,
+        16 * 1024 * 1024,
+      ),
+    },
+    log: {
+      level: r.choice("log.level", ["debug", "info", "warn", "error"], "info"),
+    },
+  };
+}
