Add the request path, at-most-once tickets and ledger, forwarding and look-up

Admission goes straight down: path, key, body, poison check, ticket, account bucket, region cap, link, fair queue, slot, exchange. Requests on once routes run only at the instance that issued their ticket; the ledger moves to a domain peer on a planned stop.

--- /dev/null
+++ b/src/admission/account.ts
@@ -0,0 +1,104 @@
+/**
+ * Who the caller is, and the client account's limit. Promise: one token of the
+ * account's budget per request that runs, whichever instance admits it.
+ */
+import type * as Http from "node:http";
+import { Ok, type Result } from "ts-results-es";
+import * as Headers from "../forward/headers.ts";
+import * as Respond from "../forward/respond.ts";
+import * as Relay from "../once/relay.ts";
+import * as ResultCodes from "../result_codes.ts";
+import * as Context from "./context.ts";
+import type * as Run from "./run.ts";
+
+const KEY_HEADER = "anvilroute-key";
+const BEARER = /^Bearer\s+(\S+)$/i;
+/** Waiting a little smooths bursts and lets a loan arrive; longer waits hide the limit from callers. */
+const ACCOUNT_WAIT_MS = 250;
+
+/** The caller's key, from the key header or a bearer token. */
+export function tryGetKey(pairs: Headers.HeaderPairs): string | undefined {
+  const key = Headers.tryGetHeader(pairs, KEY_HEADER);
+  if (key !== undefined) return key.trim();
+  const auth = Headers.tryGetHeader(pairs, "authorization");
+  return auth === undefined ? undefined : BEARER.exec(auth.trim())?.[1];
+}
+
+/** True when the URL carries the key that was sent, or any other known one. */
+export function isKeyInUrl(
+  deps: Context.Deps,
+  url: string,
+  key: string | undefined,
+): boolean {
+  if (Headers.containsKey(url, key)) return true;
+  const at = url.indexOf("?");
+  if (at < 0) return false;
+  const values = new URLSearchParams(url.slice(at + 1)).values();
+  return [...values].some((value) => deps.keys.isKnownKey(value));
+}
+
+/** Account of the request. On open routes no key is needed. */
+export function identify(
+  deps: Context.Deps,
+  req: Http.IncomingMessage,
+  pairs: Headers.HeaderPairs,
+  key: string | undefined,
+  isOpen: boolean,
+): Result<Context.Caller, ResultCodes.Failure> {
+  const relayText = Headers.tryGetHeader(pairs, Relay.RELAY_HEADER);
+  const relayed = relayText === undefined
+    ? undefined
+    : deps.relay.tryVerify(relayText, req.method ?? "", req.url ?? "");
+  if (relayed === undefined && isOpen) return Ok(getPublicCaller());
+  if (!deps.freshness.isCurrent()) return ResultCodes.fail("keysNotCurrent");
+  if (relayed !== undefined) {
+    return deps.keys.check(relayed.digest)
+      .map((account) => ({ account, digest: relayed.digest, isRelayed: true }));
+  }
+  return deps.keys.authenticate(key)
+    .map((known) => ({ ...known, isRelayed: false }));
+}
+
+function getPublicCaller(): Context.Caller {
+  return {
+    account: Context.PUBLIC_ACCOUNT,
+    digest: undefined,
+    isRelayed: false,
+  };
+}
+
+function getBudgetKey(ctx: Context.Context): string | undefined {
+  const { account } = ctx.caller;
+  if (account === Context.PUBLIC_ACCOUNT) return undefined;
+  return `acct/${ctx.route.service}/${account}`;
+}
+
+/** Takes one token of the account's budget; returns the refusal when there is none. */
+export async function pay(
+  deps: Context.Deps,
+  ctx: Context.Context,
+): Promise<Respond.Refusal | undefined> {
+  if (!deps.budgets.isValid()) return Respond.refuse("notHolding", "not-run");
+  const key = getBudgetKey(ctx);
+  if (key === undefined || deps.budgets.tryTake(key, 1)) return undefined;
+  const waitMs = Math.min(
+    ACCOUNT_WAIT_MS,
+    Context.getRemainingMs(ctx, deps.clock),
+  );
+  const taken = await deps.budgets.take(key, 1, waitMs);
+  if (taken.isOk()) return undefined;
+  const retryMs = deps.budgets.getWaitMs(key, 1);
+  return Respond.refuse("accountLimit", "not-run", retryMs);
+}
+
+/** Returns the account's token when the request certainly did not run. */
+export function refundIfNotRun(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  result: Run.RunResult,
+): void {
+  const key = getBudgetKey(ctx);
+  const isNotRun = result.kind === "refused" &&
+    result.refusal.outcome === "not-run";
+  if (isNotRun && key !== undefined) deps.budgets.giveBack(key, 1);
+}
--- /dev/null
+++ b/src/admission/run.ts
@@ -0,0 +1,220 @@
+/**
+ * Runs a request at a target, with at most one retry. Promise: a request is
+ * sent a second time only when it is a read or when the first target did not
+ * run it, and "not run" is said only when no byte left or the target said so.
+ */
+import type * as Contracts from "../contracts.ts";
+import * as Debug from "../debug.ts";
+import type * as Exchange from "../forward/exchange.ts";
+import * as Headers from "../forward/headers.ts";
+import * as Respond from "../forward/respond.ts";
+import * as Context from "./context.ts";
+import * as Place from "./place.ts";
+
+/** How a request ended. */
+export type RunResult =
+  | { readonly kind: "answer"; readonly answer: Contracts.StoredAnswer }
+  | { readonly kind: "streamed"; readonly status: number }
+  | { readonly kind: "refused"; readonly refusal: Respond.Refusal }
+  /** A part of the answer went out; the caller's connection must be cut. */
+  | { readonly kind: "cut" };
+
+/** One attempt's end; `not-run` and `broke` may be retried. */
+type Attempt =
+  | RunResult
+  | { readonly kind: "not-run"; readonly refusal: Respond.Refusal }
+  | { readonly kind: "broke" };
+
+const MAX_ATTEMPTS = 2;
+const STATUS_SHED = 503;
+
+/** Runs the request; budgets of what did not run are given back. */
+export async function run(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  sink: Exchange.AnswerSink,
+  signal: AbortSignal,
+): Promise<RunResult> {
+  const exclude = new Set<string>();
+  let mayHaveRun = false;
+  deps.retries.countRequest(ctx.route.service);
+  for (let attempt = 1;; attempt++) {
+    const placed = await Place.place(deps, ctx, exclude);
+    if (placed.isErr()) return getPlaceFailure(placed.error, mayHaveRun);
+    const placement = placed.value;
+    const blocked = recheck(deps, ctx);
+    if (blocked !== undefined) {
+      Place.abandon(deps, ctx, placement);
+      return getPlaceFailure(blocked, mayHaveRun);
+    }
+    const ended = await runOnce(deps, ctx, placement, sink, signal);
+    if (ended.kind !== "not-run" && ended.kind !== "broke") return ended;
+    exclude.add(placement.slot.target.id);
+    mayHaveRun ||= ended.kind === "broke";
+    const mayRetry = ctx.body.kind !== "stream" && attempt < MAX_ATTEMPTS &&
+      !signal.aborted &&
+      (ended.kind === "not-run" || Context.isRead(ctx.method)) &&
+      deps.retries.tryRetry(ctx.route.service);
+    if (!mayRetry) return getFinalResult(ended, mayHaveRun);
+    deps.metrics.count("retries_total");
+  }
+}
+
+/** After a broken first attempt, a second one that finds no place is not proof that nothing ran. */
+function getPlaceFailure(
+  refusal: Respond.Refusal,
+  mayHaveRun: boolean,
+): RunResult {
+  const outcome = mayHaveRun ? "unknown" : refusal.outcome;
+  return { kind: "refused", refusal: { ...refusal, outcome } };
+}
+
+function getFinalResult(
+  ended: Extract<Attempt, { kind: "not-run" | "broke" }>,
+  mayHaveRun: boolean,
+): RunResult {
+  return ended.kind === "not-run"
+    ? getPlaceFailure(ended.refusal, mayHaveRun)
+    : { kind: "refused", refusal: Respond.refuse("targetBroke", "unknown") };
+}
+
+/** The key may have been withdrawn and the right to spend lost while the request waited. */
+function recheck(
+  deps: Context.Deps,
+  ctx: Context.Context,
+): Respond.Refusal | undefined {
+  if (!deps.budgets.isValid()) return Respond.refuse("notHolding", "not-run");
+  const { digest } = ctx.caller;
+  if (digest === undefined) return undefined;
+  const checked = deps.keys.check(digest);
+  if (checked.isErr()) return { failure: checked.error, outcome: "not-run" };
+  if (!deps.freshness.isCurrent()) {
+    return Respond.refuse("keysNotCurrent", "not-run");
+  }
+  return undefined;
+}
+
+function getTargetHeaders(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  address: string,
+): Headers.HeaderPairs {
+  const remainingMs = Math.floor(Context.getRemainingMs(ctx, deps.clock));
+  return [
+    ["host", address],
+    ...ctx.headers,
+    ["anvilroute-account", ctx.caller.account],
+    ["anvilroute-request-id", ctx.id],
+    ["anvilroute-deadline-ms", String(remainingMs)],
+  ];
+}
+
+async function runOnce(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  placement: Place.Placement,
+  sink: Exchange.AnswerSink,
+  signal: AbortSignal,
+): Promise<Attempt> {
+  const { slot, link } = placement;
+  const { address } = slot.target;
+  const sentAtMs = deps.clock.nowMs();
+  const result = await deps.exchanger.exchange(
+    {
+      address,
+      method: ctx.method,
+      path: ctx.route.path + ctx.route.query,
+      headers: getTargetHeaders(deps, ctx, address),
+      body: ctx.body,
+      isRead: Context.isRead(ctx.method),
+    },
+    sink,
+    signal,
+    link && ((bytes) => link.payAnswer(bytes)),
+  );
+  const latencyMs = deps.clock.nowMs() - sentAtMs;
+  const ended = finishExchange(deps, ctx, placement, result, latencyMs, signal);
+  if (ended.kind === "not-run") {
+    const capKey = Place.getCapKey(ctx.route.service, placement.region);
+    deps.budgets.giveBack(capKey, 1);
+  }
+  return ended;
+}
+
+function finishExchange(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  placement: Place.Placement,
+  result: Exchange.ExchangeResult,
+  latencyMs: number,
+  signal: AbortSignal,
+): Attempt {
+  const { slot } = placement;
+  switch (result.kind) {
+    case "answer":
+      return finishAnswer(placement, result, latencyMs);
+    case "streamed":
+      slot.release({ kind: "answered", status: result.status, latencyMs });
+      return { kind: "streamed", status: result.status };
+    case "not-sent":
+      slot.release(
+        signal.aborted ? { kind: "cancelled" } : { kind: "connect-failed" },
+      );
+      return {
+        kind: "not-run",
+        refusal: Respond.refuse("noTarget", "not-run"),
+      };
+    case "broke":
+      return finishBroken(deps, ctx, placement, result, signal);
+    default:
+      return Debug.assertNever(result);
+  }
+}
+
+function finishAnswer(
+  placement: Place.Placement,
+  result: Extract<Exchange.ExchangeResult, { kind: "answer" }>,
+  latencyMs: number,
+): Attempt {
+  const { slot } = placement;
+  const { answer, rawHeaders } = result;
+  if (Headers.tryGetHeader(rawHeaders, "target-state") === "leaving") {
+    slot.markLeaving();
+  }
+  const isShed = answer.status === STATUS_SHED &&
+    Headers.tryGetHeader(rawHeaders, "target-outcome") === "not-run";
+  if (isShed) {
+    slot.release({ kind: "shed" });
+    return {
+      kind: "not-run",
+      refusal: Respond.refuse("shedByTarget", "not-run"),
+    };
+  }
+  slot.release({ kind: "answered", status: answer.status, latencyMs });
+  return { kind: "answer", answer };
+}
+
+function finishBroken(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  placement: Place.Placement,
+  result: Extract<Exchange.ExchangeResult, { kind: "broke" }>,
+  signal: AbortSignal,
+): Attempt {
+  const { slot } = placement;
+  if (signal.aborted) {
+    const isLate = Context.getRemainingMs(ctx, deps.clock) === 0;
+    slot.release({ kind: isLate ? "timed-out" : "cancelled" });
+    if (result.isStarted) return { kind: "cut" };
+    const name = isLate ? "deadlinePassed" : "runUnknown";
+    return { kind: "refused", refusal: Respond.refuse(name, "unknown") };
+  }
+  slot.release({ kind: "broke" });
+  deps.poison.reportBreak(ctx.fingerprint, slot.target.id);
+  deps.log.warn("target-broke", {
+    requestId: ctx.id,
+    target: slot.target.id,
+    reason: result.reason,
+  });
+  return result.isStarted ? { kind: "cut" } : { kind: "broke" };
+}
--- /dev/null
+++ b/src/forward/exchange.ts
@@ -0,0 +1,251 @@
+/**
+ * One exchange with a target over HTTP/1.1. Promise: the caller gets the whole
+ * answer to its own request or learns that it did not. A connection carries one
+ * exchange at a time; one with an unfinished or cancelled exchange is
+ * destroyed. Only reads reuse connections: on a reused one the target may close
+ * just as the request leaves, and then nobody knows whether it ran.
+ */
+import * as Undici from "undici";
+import type * as Contracts from "../contracts.ts";
+import type * as Body from "./body.ts";
+import * as Headers from "./headers.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const KEEP_ALIVE_MS = 4_000;
+
+/** A request for a target. */
+export interface TargetRequest {
+  readonly address: string;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly headers: Headers.HeaderPairs;
+  readonly body: Body.RequestBody;
+  /** Safe methods may reuse a connection. */
+  readonly isRead: boolean;
+}
+
+/** Where a long answer goes while it arrives. */
+export interface AnswerSink {
+  start(status: number, headers: Headers.HeaderPairs): void;
+  /** Resolves when more may come. */
+  write(chunk: Buffer): Promise<void>;
+}
+
+/** How the exchange ended. */
+export type ExchangeResult =
+  | {
+    readonly kind: "answer";
+    readonly answer: Contracts.StoredAnswer;
+    readonly rawHeaders: Headers.HeaderPairs;
+  }
+  /** All of a long answer went into the sink. */
+  | { readonly kind: "streamed"; readonly status: number }
+  /** No byte of the request left. */
+  | { readonly kind: "not-sent"; readonly reason: string }
+  /** Broke after the request may have left; `isStarted` when the sink got a part of the answer. */
+  | {
+    readonly kind: "broke";
+    readonly reason: string;
+    readonly isStarted: boolean;
+  };
+
+/** Sends requests to targets. */
+export interface Exchanger {
+  /** Ends when the answer is whole, the exchange broke, or `signal` aborts. */
+  exchange(
+    req: TargetRequest,
+    sink: AnswerSink,
+    signal: AbortSignal,
+    /** Called for each chunk of the answer before it is passed on, to hold back its sender. */
+    throttle?: (bytes: number) => Promise<void>,
+  ): Promise<ExchangeResult>;
+  close(): Promise<void>;
+}
+
+interface ExchangeState {
+  readonly req: TargetRequest;
+  readonly sink: AnswerSink;
+  readonly bufferBytes: number;
+  readonly throttle: ((bytes: number) => Promise<void>) | undefined;
+  readonly resolve: (result: ExchangeResult) => void;
+}
+
+/** Creates the connections' owner. Answers up to `bufferBytes` are held back until they are whole. */
+export function createExchanger(opts: {
+  readonly bufferBytes: number;
+}): Exchanger {
+  const common = {
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  };
+  const reusing = new Undici.Agent({
+    ...common,
+    pipelining: 1,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveMaxTimeout: KEEP_ALIVE_MS,
+  });
+  const single = new Undici.Agent({ ...common, pipelining: 0 });
+
+  function exchange(
+    req: TargetRequest,
+    sink: AnswerSink,
+    signal: AbortSignal,
+    throttle?: (bytes: number) => Promise<void>,
+  ): Promise<ExchangeResult> {
+    const agent = req.isRead ? reusing : single;
+    return new Promise((resolve) => {
+      const state = {
+        req,
+        sink,
+        bufferBytes: opts.bufferBytes,
+        throttle,
+        resolve,
+      };
+      dispatch(agent, state, signal);
+    });
+  }
+
+  return {
+    exchange,
+    async close() {
+      await Promise.all([reusing.destroy(), single.destroy()]);
+    },
+  };
+}
+
+function getDispatchBody(
+  body: Body.RequestBody,
+): Buffer | AsyncIterable<Buffer> | undefined {
+  switch (body.kind) {
+    case "none":
+      return undefined;
+    case "whole":
+      return body.data;
+    case "stream":
+      return body.all;
+  }
+}
+
+function getHeaderList(req: TargetRequest): string[] {
+  const list = req.headers.flatMap(([name, value]) => [name, value]);
+  const { body } = req;
+  if (body.kind === "stream" && body.length !== undefined) {
+    list.push("content-length", String(body.length));
+  }
+  return list;
+}
+
+function dispatch(
+  agent: Undici.Agent,
+  state: ExchangeState,
+  signal: AbortSignal,
+): void {
+  const { req, sink } = state;
+  let controller: Undici.Dispatcher.DispatchController | undefined;
+  let isSettled = false;
+  let isStarted = false;
+  let status = 0;
+  let rawHeaders: Headers.HeaderPairs = [];
+  let chunks: Buffer[] = [];
+  let size = 0;
+  let writing = Promise.resolve();
+
+  function settle(result: ExchangeResult): void {
+    if (isSettled) return;
+    isSettled = true;
+    signal.removeEventListener("abort", onAbort);
+    state.resolve(result);
+  }
+
+  function settleError(reason: string): void {
+    settle(
+      controller === undefined
+        ? { kind: "not-sent", reason }
+        : { kind: "broke", reason, isStarted },
+    );
+  }
+
+  function onAbort(): void {
+    // Settled first: the error that follows the abort must not decide again.
+    settleError("aborted");
+    controller?.abort(new Error("aborted"));
+  }
+
+  async function startSink(): Promise<void> {
+    isStarted = true;
+    sink.start(status, Headers.filterResponseHeaders(rawHeaders));
+    const held = chunks;
+    chunks = [];
+    for (const chunk of held) await sink.write(chunk);
+  }
+
+  async function passOn(chunk: Buffer): Promise<void> {
+    await state.throttle?.(chunk.length);
+    size += chunk.length;
+    if (isStarted) return await sink.write(chunk);
+    chunks.push(chunk);
+    if (size > state.bufferBytes) await startSink();
+  }
+
+  function finish(): void {
+    if (isStarted) return settle({ kind: "streamed", status });
+    const headers = Headers.filterResponseHeaders(rawHeaders);
+    const body = Buffer.concat(chunks);
+    settle({ kind: "answer", answer: { status, headers, body }, rawHeaders });
+  }
+
+  if (signal.aborted) return settleError("aborted");
+  signal.addEventListener("abort", onAbort, { once: true });
+  agent.dispatch(
+    {
+      origin: `http://${req.address}`,
+      method: req.method as Undici.Dispatcher.HttpMethod,
+      path: req.path,
+      headers: getHeaderList(req),
+      // undici's types leave out async iterables, which it accepts.
+      body: (getDispatchBody(req.body) ?? null) as Buffer | null,
+    },
+    {
+      onRequestStart(started) {
+        if (isSettled) return started.abort(new Error("aborted"));
+        controller = started;
+      },
+      onResponseStart(_controller, statusCode, _headers) {
+        if (statusCode < 200) return;
+        status = statusCode;
+        rawHeaders = toHeaderPairs(_controller, _headers);
+      },
+      onResponseData(flow, chunk) {
+        flow.pause();
+        // The buffer belongs to the parser's read and is copied before the wait.
+        const copy = Buffer.from(chunk);
+        writing = writing.then(() => passOn(copy)).then(
+          () => flow.resume(),
+          (err) => flow.abort(err instanceof Error ? err : new Error("sink")),
+        );
+      },
+      onResponseEnd() {
+        writing.then(finish, (err) => settleError(String(err)));
+      },
+      onResponseError(_controller, err) {
+        writing.finally(() => settleError(err.message));
+      },
+    },
+  );
+}
+
+function toHeaderPairs(
+  controller: Undici.Dispatcher.DispatchController,
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Headers.HeaderPairs {
+  const raw = controller.rawHeaders;
+  if (Array.isArray(raw)) {
+    return Headers.toPairs(raw.map((part) => part.toString()));
+  }
+  return Object.entries(headers).flatMap(([name, value]) =>
+    (Array.isArray(value) ? value : [value ?? ""])
+      .map((one) => [name, one] as const)
+  );
+}
--- /dev/null
+++ b/src/lookup/block_map.ts
@@ -0,0 +1,133 @@
+/**
+ * Client blocks (address prefixes) and the site that serves each: a sorted
+ * `Uint32Array` of first addresses with a site number per block. 1.6 million
+ * blocks take 9.6 MB. A look-up is a binary search and allocates nothing.
+ */
+import { Ok, type Result } from "ts-results-es";
+import * as ResultCodes from "../result_codes.ts";
+
+/** Blocks in ascending order; each ends where the next begins. */
+export interface BlockMap {
+  readonly size: number;
+  readonly bytes: number;
+  /** Site number of an IPv4 address; undefined before the first block or where `NO_SITE` is set. */
+  tryGetSite(address: number): number | undefined;
+}
+
+/** Marks a gap between blocks. */
+export const NO_SITE = 0xffff;
+
+const MAX_VARINT_BYTES = 5;
+
+/** Creates a map over arrays that the caller no longer changes; `starts` is strictly ascending. */
+export function createBlockMap(
+  starts: Uint32Array,
+  sites: Uint16Array,
+): BlockMap {
+  function findIndex(address: number): number {
+    let low = 0;
+    let high = starts.length;
+    while (low < high) {
+      const mid = (low + high) >>> 1;
+      if ((starts[mid] ?? 0) <= address) low = mid + 1;
+      else high = mid;
+    }
+    return low - 1;
+  }
+  return {
+    size: starts.length,
+    bytes: starts.byteLength + sites.byteLength,
+    tryGetSite(address) {
+      const site = sites[findIndex(address)];
+      return site === NO_SITE ? undefined : site;
+    },
+  };
+}
+
+/** Parses `a.b.c.d`; undefined when malformed. */
+export function tryParseIpv4(text: string): number | undefined {
+  const parts = text.split(".");
+  if (parts.length !== 4) return undefined;
+  let value = 0;
+  for (const part of parts) {
+    if (!/^\d{1,3}$/.test(part) || Number(part) > 255) return undefined;
+    value = value * 256 + Number(part);
+  }
+  return value;
+}
+
+function writeVarint(out: number[], value: number): void {
+  let rest = value;
+  while (rest >= 0x80) {
+    out.push((rest % 0x80) | 0x80);
+    rest = Math.floor(rest / 0x80);
+  }
+  out.push(rest);
+}
+
+/** Encodes blocks as distances and sites, so that a chunk of the store holds some 300,000 of them. */
+export function encodeBlocks(
+  starts: Uint32Array,
+  sites: Uint16Array,
+): Uint8Array {
+  const out: number[] = [];
+  let previous = 0;
+  for (let i = 0; i < starts.length; i++) {
+    const start = starts[i] ?? 0;
+    writeVarint(out, start - previous);
+    writeVarint(out, sites[i] ?? NO_SITE);
+    previous = start;
+  }
+  return Uint8Array.from(out);
+}
+
+interface Cursor {
+  readonly data: Uint8Array;
+  at: number;
+}
+
+function tryReadVarint(cursor: Cursor): number | undefined {
+  let value = 0;
+  let factor = 1;
+  for (let i = 0; i < MAX_VARINT_BYTES; i++) {
+    const byte = cursor.data[cursor.at++];
+    if (byte === undefined) return undefined;
+    value += (byte & 0x7f) * factor;
+    if (byte < 0x80) return value;
+    factor *= 0x80;
+  }
+  return undefined;
+}
+
+/** Decodes what `encodeBlocks` made; fails on damaged or unsorted data. */
+export function decodeBlocks(
+  data: Uint8Array,
+): Result<BlockMap, ResultCodes.Failure> {
+  const starts: number[] = [];
+  const sites: number[] = [];
+  const cursor = { data, at: 0 };
+  let start = 0;
+  while (cursor.at < data.length) {
+    const distance = tryReadVarint(cursor);
+    const site = tryReadVarint(cursor);
+    if (distance === undefined || site === undefined || site > NO_SITE) {
+      return ResultCodes.fail(
+        "tableSyntax",
+        `client blocks, byte ${cursor.at}`,
+      );
+    }
+    if (distance === 0 && starts.length > 0) {
+      return ResultCodes.fail("tableSyntax", "client blocks are not ascending");
+    }
+    start += distance;
+    if (start > 0xffffffff) {
+      return ResultCodes.fail(
+        "tableSyntax",
+        "client block beyond the last address",
+      );
+    }
+    starts.push(start);
+    sites.push(site);
+  }
+  return Ok(createBlockMap(Uint32Array.from(starts), Uint16Array.from(sites)));
+}
--- /dev/null
+++ b/src/lookup/order.ts
@@ -0,0 +1,62 @@
+/**
+ * Which entry instances a caller should use. Instances of the own failure
+ * domain come first, then the own region, then others; within each group those
+ * that hold more of the account's budget get more of its callers, so that the
+ * account's tokens are where its requests arrive.
+ */
+import type * as Types from "../types.ts";
+
+/** One instance of a look-up answer. */
+export interface LookupInstance {
+  readonly id: Types.InstanceId;
+  readonly address: Types.Address;
+  /** Relative share of callers within the same group, 1 to 100. */
+  readonly weight: number;
+  readonly domain: Types.Domain;
+}
+
+/** What the order depends on. */
+export interface OrderInput {
+  readonly domain: Types.Domain;
+  readonly region: Types.Region;
+  readonly candidates: readonly Types.Heartbeat[];
+  /** Requests per second of the caller's account that the instance's shards carry. */
+  readonly getHeldRate: (candidate: Types.Heartbeat) => number;
+}
+
+const MAX_WEIGHT = 100;
+/** An instance without budget can still borrow; it stays a last choice of its group. */
+const MIN_WEIGHT = 1;
+/** A full instance gets this part of its share. */
+const FULL_LOAD_FACTOR = 0.1;
+
+function getGroup(input: OrderInput, candidate: Types.Heartbeat): number {
+  if (candidate.domain === input.domain) return 0;
+  return candidate.region === input.region ? 1 : 2;
+}
+
+function getScore(input: OrderInput, candidate: Types.Heartbeat): number {
+  const spare = Math.max(FULL_LOAD_FACTOR, 1 - candidate.load);
+  return input.getHeldRate(candidate) * spare;
+}
+
+/** Instances in the order to use them; leaving ones are left out. */
+export function orderInstances(input: OrderInput): readonly LookupInstance[] {
+  const live = input.candidates.filter((one) => one.state === "live");
+  const scored = live.map((candidate) => ({
+    candidate,
+    group: getGroup(input, candidate),
+    score: getScore(input, candidate),
+  }));
+  const top = Math.max(...scored.map((one) => one.score), Number.MIN_VALUE);
+  scored.sort((a, b) =>
+    a.group - b.group || b.score - a.score ||
+    (a.candidate.id < b.candidate.id ? -1 : 1)
+  );
+  return scored.map(({ candidate, score }) => ({
+    id: candidate.id,
+    address: candidate.callerAddress,
+    weight: Math.max(MIN_WEIGHT, Math.round(MAX_WEIGHT * score / top)),
+    domain: candidate.domain,
+  }));
+}
--- /dev/null
+++ b/src/once/ledger.ts
@@ -0,0 +1,243 @@
+/**
+ * The ledger of tickets: what became of each used ticket of this instance and
+ * of those whose ledger it adopted. Promise: a ticket's request is handed out
+ * to run at most once at a time, and never again once it ran or may have run.
+ * Lost with the process: resends then get `unknown`, and nothing runs twice.
+ *
+ * Bounds: at `maxEntries` new tickets are refused as not run; at `maxBytes`
+ * answers are no longer kept, and a resend learns only that the request ran.
+ * No entry is dropped before its ticket expires.
+ */
+import type * as Clock from "../clock.ts";
+import type * as Contracts from "../contracts.ts";
+import * as Debug from "../debug.ts";
+import * as ResultCodes from "../result_codes.ts";
+
+/** Larger answers are not kept, so that a few of them can't use up the ledger. */
+const MAX_ANSWER_BYTES = 16 * 1024;
+const ENTRY_OVERHEAD_BYTES = 400;
+
+/** State of a used ticket, JSON-safe for the hand-over. */
+export type EntryState =
+  | { readonly kind: "running" }
+  | {
+    readonly kind: "ran";
+    readonly status: number;
+    readonly answer: Contracts.StoredAnswer | undefined;
+  }
+  | { readonly kind: "not-run" }
+  | { readonly kind: "unknown" };
+
+/** One used ticket. */
+export interface Entry {
+  readonly ticketId: string;
+  readonly fingerprint: string;
+  readonly expiresAtMs: number;
+  readonly state: EntryState;
+}
+
+/** Ledger without its network side; `src/once/handover.ts` adds that. */
+export interface LocalLedger {
+  claim: Contracts.Ledger["claim"];
+  /** Accepts no claim from now on. */
+  seal(): void;
+  /** Another instance may own the tickets now: nothing here is known to be not run. */
+  markTransferred(): void;
+  readonly isSealed: boolean;
+  /** Resolves when no entry is running, or after `timeoutMs`; what still runs then becomes unknown. */
+  settle(timeoutMs: number): Promise<void>;
+  export(): readonly Entry[];
+  import(entries: readonly Entry[]): void;
+  /** Drops expired entries. */
+  sweep(): void;
+  getSize: Contracts.Ledger["getSize"];
+}
+
+/** Limits of a ledger. */
+export interface LedgerOptions {
+  readonly maxEntries: number;
+  readonly maxBytes: number;
+  readonly clock: Clock.Clock;
+}
+
+interface MutableEntry extends Entry {
+  state: EntryState;
+  bytes: number;
+}
+
+/** Creates an empty ledger. */
+export function createLocalLedger(opts: LedgerOptions): LocalLedger {
+  const entries = new Map<string, MutableEntry>();
+  const waiters = new Map<string, Set<() => void>>();
+  let bytes = 0;
+  let running = 0;
+  let isSealed = false;
+  let isTransferred = false;
+
+  function put(entry: Entry): MutableEntry {
+    const size = getSizeOf(entry);
+    const made = { ...entry, bytes: size };
+    entries.set(entry.ticketId, made);
+    bytes += size;
+    return made;
+  }
+
+  function settleEntry(entry: MutableEntry, state: EntryState): void {
+    if (entry.state.kind !== "running") return;
+    running--;
+    bytes -= entry.bytes;
+    entry.state = state;
+    entry.bytes = getSizeOf(entry);
+    bytes += entry.bytes;
+    const waiting = waiters.get(entry.ticketId);
+    waiters.delete(entry.ticketId);
+    waiting?.forEach((wake) => wake());
+  }
+
+  function keepAnswer(
+    answer: Contracts.StoredAnswer | undefined,
+  ): Contracts.StoredAnswer | undefined {
+    const size = answer?.body.byteLength ?? 0;
+    const fits = size <= MAX_ANSWER_BYTES && bytes + size <= opts.maxBytes;
+    return fits ? answer : undefined;
+  }
+
+  function createRun(entry: MutableEntry): Contracts.ClaimedRun {
+    return {
+      ran: (answer, status) =>
+        settleEntry(entry, { kind: "ran", status, answer: keepAnswer(answer) }),
+      notRun: () => settleEntry(entry, { kind: "not-run" }),
+      unknown: () => settleEntry(entry, { kind: "unknown" }),
+    };
+  }
+
+  function startRun(entry: MutableEntry): Contracts.Claim {
+    entry.state = { kind: "running" };
+    running++;
+    return { kind: "run", run: createRun(entry) };
+  }
+
+  function waitForEnd(ticketId: string, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const set = waiters.get(ticketId) ?? new Set();
+      waiters.set(ticketId, set);
+      const wake = () => {
+        signal.removeEventListener("abort", wake);
+        set.delete(wake);
+        resolve();
+      };
+      set.add(wake);
+      signal.addEventListener("abort", wake, { once: true });
+    });
+  }
+
+  function claimNew(
+    ticket: Contracts.Ticket & { readonly isExpired: boolean },
+    fingerprint: string,
+  ): Contracts.Claim {
+    // Without a record an expired ticket may have run and been forgotten.
+    if (ticket.isExpired || isTransferred) return { kind: "unknown" };
+    if (isSealed) return refuse("leaving");
+    if (entries.size >= opts.maxEntries) return refuse("ledgerFull");
+    const entry = put({
+      ticketId: ticket.id,
+      fingerprint,
+      expiresAtMs: ticket.expiresAtMs,
+      state: { kind: "not-run" },
+    });
+    return startRun(entry);
+  }
+
+  async function claim(
+    ticket: Contracts.Ticket & { readonly isExpired: boolean },
+    fingerprint: string,
+    signal: AbortSignal,
+  ): Promise<Contracts.Claim> {
+    for (;;) {
+      const entry = entries.get(ticket.id);
+      if (entry === undefined) return claimNew(ticket, fingerprint);
+      if (entry.fingerprint !== fingerprint) return refuse("ticketReused");
+      switch (entry.state.kind) {
+        case "running":
+          if (signal.aborted) return { kind: "unknown" };
+          await waitForEnd(ticket.id, signal);
+          break;
+        case "ran":
+          return getAnswerClaim(entry.state);
+        case "not-run":
+          if (isTransferred) return { kind: "unknown" };
+          if (isSealed) return refuse("leaving");
+          return startRun(entry);
+        case "unknown":
+          return { kind: "unknown" };
+        default:
+          Debug.assertNever(entry.state);
+      }
+    }
+  }
+
+  async function settle(timeoutMs: number): Promise<void> {
+    const limit = AbortSignal.timeout(timeoutMs);
+    while (running > 0 && !limit.aborted) {
+      const busy = [...entries.values()].find((e) =>
+        e.state.kind === "running"
+      );
+      if (busy !== undefined) await waitForEnd(busy.ticketId, limit);
+    }
+    for (const entry of entries.values()) {
+      settleEntry(entry, { kind: "unknown" });
+    }
+  }
+
+  return {
+    claim,
+    seal() {
+      isSealed = true;
+    },
+    markTransferred() {
+      isTransferred = true;
+    },
+    get isSealed() {
+      return isSealed;
+    },
+    settle,
+    export: () =>
+      [...entries.values()].map(({ bytes: _bytes, ...entry }) => entry),
+    import(list) {
+      for (const entry of list) {
+        if (!entries.has(entry.ticketId)) put(entry);
+      }
+    },
+    sweep() {
+      const now = opts.clock.wallMs();
+      for (const [id, entry] of entries) {
+        if (entry.expiresAtMs > now || entry.state.kind === "running") continue;
+        bytes -= entry.bytes;
+        entries.delete(id);
+      }
+    },
+    getSize: () => ({ entries: entries.size, bytes }),
+  };
+}
+
+function refuse(name: ResultCodes.CodeName): Contracts.Claim {
+  return {
+    kind: "refused",
+    failure: { code: ResultCodes.codes[name], detail: "" },
+  };
+}
+
+function getAnswerClaim(
+  state: Extract<EntryState, { kind: "ran" }>,
+): Contracts.Claim {
+  return state.answer === undefined
+    ? { kind: "ran-without-answer", status: state.status }
+    : { kind: "answer", answer: state.answer };
+}
+
+function getSizeOf(entry: Entry): number {
+  const answer = entry.state.kind === "ran" ? entry.state.answer : undefined;
+  const headerBytes = (answer?.headers ?? [])
+    .reduce((sum, [name, value]) => sum + name.length + value.length, 0);
+  return ENTRY_OVERHEAD_BYTES + headerBytes + (answer?.body.byteLength ?? 0);
+}
--- /dev/null
+++ b/src/once/tickets.ts
@@ -0,0 +1,92 @@
+/**
+ * Tickets for routes that run at most once. A ticket names the one instance
+ * that may run it, so no agreement is needed. Promise: a ticket that verifies
+ * was issued by an instance that knows the secret, for this account and service.
+ */
+import * as Crypto from "node:crypto";
+import { Ok } from "ts-results-es";
+import type * as Clock from "../clock.ts";
+import type * as Contracts from "../contracts.ts";
+import * as ResultCodes from "../result_codes.ts";
+
+const VERSION = "v1";
+const FIELD_COUNT = 8;
+const NONCE_BYTES = 12;
+const MAC_CHARS = 32;
+const MAX_TICKET_CHARS = 512;
+
+/** What an instance needs to issue tickets. */
+export interface TicketOptions {
+  readonly self: string;
+  readonly incarnation: string;
+  readonly secret: string;
+  readonly ttlMs: number;
+  readonly clock: Clock.Clock;
+}
+
+/** Creates an issuer and verifier of tickets. */
+export function createTickets(opts: TicketOptions): Contracts.Tickets {
+  // A key of its own, so that a MAC made for another purpose never verifies here.
+  const macKey = Crypto.createHmac("sha256", opts.secret)
+    .update("anvilroute ticket v1").digest();
+
+  function getMac(payload: string): string {
+    return Crypto.createHmac("sha256", macKey).update(payload)
+      .digest("base64url").slice(0, MAC_CHARS);
+  }
+
+  function issueOne(account: string, service: string): string {
+    const expiresAt = Math.round(opts.clock.wallMs() + opts.ttlMs).toString(36);
+    const nonce = Crypto.randomBytes(NONCE_BYTES).toString("base64url");
+    const payload = [
+      VERSION,
+      opts.self,
+      opts.incarnation,
+      account,
+      service,
+      expiresAt,
+      nonce,
+    ].join(".");
+    return `${payload}.${getMac(payload)}`;
+  }
+
+  return {
+    issue(account, service, count) {
+      return Array.from({ length: count }, () => issueOne(account, service));
+    },
+    verify(text, account, service) {
+      const fields = text.length > MAX_TICKET_CHARS ? [] : text.split(".");
+      if (fields.length !== FIELD_COUNT || fields[0] !== VERSION) {
+        return ResultCodes.fail("ticketInvalid", "malformed");
+      }
+      const payload = fields.slice(0, -1).join(".");
+      if (!isSameText(fields.at(-1) ?? "", getMac(payload))) {
+        return ResultCodes.fail("ticketInvalid", "not issued here");
+      }
+      const [, issuer = "", incarnation = "", owner, forService, expires] =
+        fields;
+      if (owner !== account || forService !== service) {
+        return ResultCodes.fail(
+          "ticketInvalid",
+          "issued for another account or service",
+        );
+      }
+      const expiresAtMs = parseInt(expires ?? "0", 36);
+      return Ok({
+        id: payload,
+        issuer,
+        incarnation,
+        account,
+        service,
+        expiresAtMs,
+        isExpired: expiresAtMs <= opts.clock.wallMs(),
+      });
+    },
+  };
+}
+
+function isSameText(a: string, b: string): boolean {
+  const left = Buffer.from(a);
+  const right = Buffer.from(b);
+  return left.length === right.length && Crypto.timingSafeEqual(left, right);
+}
