--- a/src/admission/once.ts
+++ b/src/admission/once.ts
@@ -18,6 +18,7 @@
 const TICKET_HEADER = "idempotency-key";
 /** The target may answer after the caller's deadline; a resend then gets that answer. */
 const LATE_ANSWER_GRACE_MS = 10_000;
+const HAND_OVER_POLL_MS = 20;
 const RELAY_ATTEMPTS = 2;
 const RELAY_BACKOFF_MS = 50;
 
@@ -39,6 +40,7 @@
     return finishRefused(ctx, { failure: verified.error, outcome: "not-run" });
   }
   const ticket = verified.value;
+  await waitForHandOver(deps, ctx, ticket);
   if (deps.ledger.isOwner(ticket.issuer, ticket.incarnation)) {
     return await serveAsOwner(deps, ctx, ticket);
   }
@@ -47,6 +49,21 @@
   return await passOn(deps, ctx, ticket);
 }
 
+/** While the ledger is on its way to a peer, new requests wait for the peer to own it. */
+async function waitForHandOver(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  ticket: VerifiedTicket,
+): Promise<void> {
+  const { issuer, incarnation } = ticket;
+  while (
+    deps.ledger.isHandingOver() && !ctx.signal.aborted &&
+    deps.ledger.isOwner(issuer, incarnation)
+  ) {
+    await delay(HAND_OVER_POLL_MS);
+  }
+}
+
 function refuse(
   ctx: Context.Context,
   ...args: Parameters<typeof Respond.refuse>
--- a/src/once/handover.ts
+++ b/src/once/handover.ts
@@ -5,6 +5,7 @@
  * arrived, so at any time at most one instance runs a given ticket. When the
  * final message is lost neither does, and resends get `unknown`.
  */
+import * as Crypto from "node:crypto";
 import { Ok } from "ts-results-es";
 import type * as Contracts from "../contracts.ts";
 import type * as Log from "../log.ts";
@@ -65,6 +66,8 @@
   sweep(): void;
   /** Asks peers who answers for an issuer that this instance has not heard of. */
   findOwner(issuer: string, incarnation: string): Promise<string | undefined>;
+  /** True between the start of a hand-over and its end. */
+  isHandingOver(): boolean;
 }
 
 /** Creates the ledger and registers its RPC methods. */
@@ -73,6 +76,7 @@
   const local = LocalLedger.createLocalLedger(opts);
   const owned = new Set([getOwnerKey(peers.self, peers.incarnation)]);
   const owners = new Map<string, string>();
+  let isHandingOver = false;
   const incoming = new Map<string, LocalLedger.Entry[]>();
 
   function announce(who: Owned): void {
@@ -132,11 +136,24 @@
 
   async function handOver(
     to: string,
+  ): ReturnType<Contracts.Ledger["handOver"]> {
+    // A peer that got the last message may own the tickets; a second owner must not.
+    if (local.isTransferred) return failHandOver(to);
+    isHandingOver = true;
+    try {
+      return await transfer(to);
+    } finally {
+      isHandingOver = false;
+    }
+  }
+
+  async function transfer(
+    to: string,
   ): ReturnType<Contracts.Ledger["handOver"]> {
     local.seal();
     await local.settle(SETTLE_TIMEOUT_MS);
     const entries = local.export().map(toWire);
-    const transferId = `${peers.self}.${peers.incarnation}.${to}`;
+    const transferId = Crypto.randomUUID();
     for (let at = 0; at < entries.length; at += ENTRIES_PER_MESSAGE) {
       const part = entries.slice(at, at + ENTRIES_PER_MESSAGE);
       const sent = await send(to, { transferId, entries: part });
@@ -199,6 +216,7 @@
       owners.get(getOwnerKey(issuer, incarnation)),
     handOver,
     findOwner,
+    isHandingOver: () => isHandingOver,
   };
 }
 
--- a/src/once/ledger.ts
+++ b/src/once/ledger.ts
@@ -44,6 +44,7 @@
   /** Another instance may own the tickets now: nothing here is known to be not run. */
   markTransferred(): void;
   readonly isSealed: boolean;
+  readonly isTransferred: boolean;
   /** Resolves when no entry is running, or after `timeoutMs`; what still runs then becomes unknown. */
   settle(timeoutMs: number): Promise<void>;
   export(): readonly Entry[];
@@ -200,6 +201,9 @@
     get isSealed() {
       return isSealed;
     },
+    get isTransferred() {
+      return isTransferred;
+    },
     settle,
     export: () =>
       [...entries.values()].map(({ bytes: _bytes, ...entry }) => entry),
