Prove the request path with a real listener and stand-in targets

Cause: streaming an answer beyond the buffer never ended and grew the heap without bound. undici's parser repeats an empty chunk after a pause that falls on the end of its input, and the handler paused again for it. Change: empty chunks are ignored; short answers are held without a pause.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -189,6 +189,15 @@
     if (size > state.bufferBytes) await startSink();
   }
 
+  /** Keeps a chunk of a short answer at once; false when it has to wait or be passed on. */
+  function tryHold(chunk: Buffer): boolean {
+    const isPlain = state.throttle === undefined && !isStarted;
+    if (!isPlain || size + chunk.length > state.bufferBytes) return false;
+    size += chunk.length;
+    chunks.push(Buffer.from(chunk));
+    return true;
+  }
+
   function finish(): void {
     if (isStarted) return settle({ kind: "streamed", status });
     const headers = Headers.filterResponseHeaders(rawHeaders);
@@ -218,6 +227,9 @@
         rawHeaders = toHeaderPairs(_controller, _headers);
       },
       onResponseData(flow, chunk) {
+        // After a pause undici's parser repeats an empty chunk, and pausing for it would loop.
+        if (chunk.length === 0) return;
+        if (tryHold(chunk)) return;
         flow.pause();
         // The buffer belongs to the parser's read and is copied before the wait.
         const copy = Buffer.from(chunk);
--- /dev/null
+++ b/tests/support/fakes.ts
@@ -0,0 +1,320 @@
+/** Small fakes at the interfaces, for tests of the request path. */
+import * as Crypto from "node:crypto";
+import { Ok } from "ts-results-es";
+import * as Admission from "../../src/admission/admission.ts";
+import type * as Context from "../../src/admission/context.ts";
+import type * as Place from "../../src/admission/place.ts";
+import * as Clock from "../../src/clock.ts";
+import type * as Contracts from "../../src/contracts.ts";
+import * as Servers from "../../src/daemon/servers.ts";
+import * as Exchange from "../../src/forward/exchange.ts";
+import * as Log from "../../src/log.ts";
+import * as Handover from "../../src/once/handover.ts";
+import * as Relay from "../../src/once/relay.ts";
+import * as Tickets from "../../src/once/tickets.ts";
+import * as ResultCodes from "../../src/result_codes.ts";
+import * as Table from "../../src/table/table.ts";
+import type * as Types from "../../src/types.ts";
+
+/** Secret shared by the instances of a test. */
+export const SECRET = "a-secret-for-tests-only";
+/** Plaintext key of account `club`. */
+export const KEY = "club-0123456789abcdefghijklmnop";
+/** Plaintext key of account `hut`. */
+export const OTHER_KEY = "hut-0123456789abcdefghijklmnopq";
+
+const CSV =
+  `service,region,domains,weight,cap_rps,shift_pct_per_s,link_mbps,once,open,deadline_ms,rate:club,burst:club,rate:hut,burst:hut
+booking,uusimaa,uusimaa-1 uusimaa-2,100,500,5,100,POST /bookings,/fleet,1500,50,50,50,50
+`;
+
+/** A quiet logger. */
+export const quietLog = Log.createLogger("error", {}, () => {});
+
+/** Digest as the keys record holds it. */
+export function getDigest(key: string): string {
+  return Crypto.createHash("sha256").update(key).digest("hex");
+}
+
+/** Budgets that always have tokens, and count them. */
+export function createFakeBudgets(): Contracts.Budgets & {
+  readonly taken: Map<string, number>;
+  limit: number;
+} {
+  const taken = new Map<string, number>();
+  const fake = {
+    taken,
+    limit: Infinity,
+    tryTake(key: string, tokens: number) {
+      const now = taken.get(key) ?? 0;
+      if (now + tokens > fake.limit) return false;
+      taken.set(key, now + tokens);
+      return true;
+    },
+    take(key: string, tokens: number) {
+      return Promise.resolve(
+        fake.tryTake(key, tokens)
+          ? Ok(undefined)
+          : ResultCodes.fail("accountLimit"),
+      );
+    },
+    giveBack(key: string, tokens: number) {
+      taken.set(key, (taken.get(key) ?? 0) - tokens);
+    },
+    getHolding: () => ({ tokens: 1, rate: 1, burst: 1 }),
+    getWaitMs: () => 1_000,
+    setTable: () => {},
+    isValid: () => true,
+    getShards: () => [0],
+  };
+  return fake;
+}
+
+/** Targets tried in the order given, each with endless slots. */
+export function createFakeTargets(
+  addresses: readonly Types.Address[],
+): Contracts.Targets & { readonly verdicts: string[] } {
+  const verdicts: string[] = [];
+  const views = addresses.map((address, i): Contracts.TargetView => ({
+    id: `t${i + 1}`,
+    service: "booking",
+    domain: "uusimaa-1",
+    region: "uusimaa",
+    address,
+    slots: 4,
+    state: "usable",
+    inFlight: 0,
+    reportedInUse: 0,
+  }));
+  return {
+    verdicts,
+    tryAcquire(_service, _region, exclude) {
+      const target = views.find((one) => exclude?.has(one.id) !== true);
+      return target && {
+        target,
+        release: (verdict) => verdicts.push(`${target.id}:${verdict.kind}`),
+        markLeaving: () => verdicts.push(`${target.id}:leaving`),
+      };
+    },
+    hasUsable: () => views.length > 0,
+    onSlotFree: () => {},
+    list: () => views,
+    setInstances: () => {},
+  };
+}
+
+/** A queue that lets an entry start or refuses it at once. */
+export function createFakeQueue(): Contracts.FairQueue<Place.Placement> {
+  return {
+    wait(_entry, tryStart) {
+      const started = tryStart();
+      return Promise.resolve(
+        started === undefined ? ResultCodes.fail("queueFull") : Ok(started),
+      );
+    },
+    wake: () => {},
+    getLength: () => 0,
+  };
+}
+
+/** Keys of `club` and `hut`. */
+export function createFakeKeys(): Contracts.Keys & {
+  readonly withdrawn: Set<string>;
+} {
+  const accounts = new Map([
+    [getDigest(KEY), "club"],
+    [getDigest(OTHER_KEY), "hut"],
+  ]);
+  const withdrawn = new Set<string>();
+  function check(digest: string) {
+    const account = accounts.get(digest);
+    if (withdrawn.has(digest)) return ResultCodes.fail("keyWithdrawn");
+    return account === undefined ? ResultCodes.fail("keyUnknown") : Ok(account);
+  }
+  return {
+    withdrawn,
+    setRecord: () => true,
+    addWithdrawn: (digests) => digests.forEach((one) => withdrawn.add(one)),
+    authenticate(key) {
+      if (key === undefined) return ResultCodes.fail("keyMissing");
+      const digest = getDigest(key);
+      return check(digest).map((account) => ({ account, digest }));
+    },
+    check,
+    isKnownKey: (text) => accounts.has(getDigest(text)),
+  };
+}
+
+/** Peer nets that reach each other by direct calls; `isCut` loses every call. */
+export interface FakeNet {
+  createPeer(id: string, getCallerAddress: () => string): Contracts.PeerNet;
+  readonly cut: Set<string>;
+}
+
+/** Creates an empty net. */
+export function createFakeNet(): FakeNet {
+  const peers = new Map<
+    string,
+    { handlers: Map<string, Contracts.RpcHandler>; address: () => string }
+  >();
+  const cut = new Set<string>();
+  function getMember(id: string): Types.Member | undefined {
+    const peer = peers.get(id);
+    if (peer === undefined) return undefined;
+    const heartbeat = {
+      id,
+      incarnation: "i1",
+      domain: "uusimaa-1",
+      region: "uusimaa",
+      state: "live",
+      callerAddress: peer.address(),
+    } as Types.Heartbeat;
+    return { heartbeat, ageMs: 0, isReachable: !cut.has(id) };
+  }
+  function createPeer(self: string, address: () => string): Contracts.PeerNet {
+    const handlers = new Map<string, Contracts.RpcHandler>();
+    peers.set(self, { handlers, address });
+    async function call(id: string, method: string, params: unknown) {
+      const fn = peers.get(id)?.handlers.get(method);
+      if (fn === undefined || cut.has(id) || cut.has(self)) {
+        return ResultCodes.fail("peerUnreachable");
+      }
+      try {
+        return Ok(await fn(JSON.parse(JSON.stringify(params)), self));
+      } catch (err) {
+        return ResultCodes.fail("peerError", String(err));
+      }
+    }
+    return {
+      self,
+      incarnation: "i1",
+      getMembers: () =>
+        [...peers.keys()].filter((id) => id !== self)
+          .flatMap((id) => getMember(id) ?? []),
+      tryGetMember: getMember,
+      call: call as Contracts.PeerNet["call"],
+      notifyAll(method, params) {
+        for (const id of peers.keys()) {
+          if (id !== self) void call(id, method, params);
+        }
+      },
+      handle: (method, fn) => void handlers.set(method, fn),
+      onHeartbeat: () => {},
+      addPeerAddresses: () => {},
+    };
+  }
+  return { createPeer, cut };
+}
+
+/** An instance's request path on a real listener, with fakes behind it. */
+export interface TestInstance {
+  readonly address: Types.Address;
+  readonly deps: Context.Deps;
+  readonly budgets: ReturnType<typeof createFakeBudgets>;
+  readonly targets: ReturnType<typeof createFakeTargets>;
+  readonly keys: ReturnType<typeof createFakeKeys>;
+  readonly blocked: Set<string>;
+  readonly broken: string[];
+  readonly records: Contracts.RequestRecord[];
+  issueTicket(account?: string): string;
+  close(): Promise<void>;
+}
+
+/** Starts one. */
+export async function startTestInstance(
+  id: string,
+  targetAddresses: readonly Types.Address[],
+  net: FakeNet = createFakeNet(),
+): Promise<TestInstance> {
+  let address = "";
+  const table = Table.parseTable(CSV, 1).unwrap();
+  const budgets = createFakeBudgets();
+  const targets = createFakeTargets(targetAddresses);
+  const keys = createFakeKeys();
+  const blocked = new Set<string>();
+  const broken: string[] = [];
+  const records: Contracts.RequestRecord[] = [];
+  const peers = net.createPeer(id, () => address);
+  const clock = Clock.systemClock;
+  const exchanger = Exchange.createExchanger({ bufferBytes: 256 * 1024 });
+  const deps: Context.Deps = {
+    region: "uusimaa",
+    config: {
+      getTable: () => table,
+      getKeysRecord: () => ({
+        revision: 1,
+        record: { writeId: "w", accounts: {}, withdrawn: [] },
+      }),
+      onTable: () => {},
+      onKeys: () => {},
+    },
+    freshness: { isCurrent: () => true, getAgeMs: () => 0 },
+    keys,
+    budgets,
+    steering: {
+      setTable: () => {},
+      chooseRegions: () => ["uusimaa"],
+      getEffectiveWeights: () => new Map(),
+    },
+    targets,
+    queue: createFakeQueue(),
+    tickets: Tickets.createTickets({
+      self: id,
+      incarnation: "i1",
+      secret: SECRET,
+      ttlMs: 60_000,
+      clock,
+    }),
+    ledger: Handover.createLedger({
+      maxEntries: 100,
+      maxBytes: 100_000,
+      clock,
+      peers,
+      log: quietLog,
+    }),
+    poison: {
+      isBlocked: (fingerprint) => blocked.has(fingerprint),
+      reportBreak: (_fingerprint, target) => void broken.push(target),
+    },
+    retries: { countRequest: () => {}, tryRetry: () => true },
+    peers,
+    exchanger,
+    relay: Relay.createRelaySigner(SECRET, clock),
+    metrics: {
+      record: (rec) => void records.push(rec),
+      count: () => {},
+      gauge: () => {},
+      formatText: () => "",
+      getBurnSnapshot: () => ({}),
+    },
+    clock,
+    log: quietLog,
+    limits: { maxBytes: 8 * 1024 * 1024, bufferBytes: 256 * 1024 },
+    findRoute: Table.findRoute,
+  };
+  const listener = await Servers.startCallerListener(
+    "127.0.0.1:0",
+    {
+      lookup: (_req, res) => void res.end("{}"),
+      service: Admission.createAdmission(deps),
+    },
+    quietLog,
+  );
+  address = listener.address;
+  return {
+    address,
+    deps,
+    budgets,
+    targets,
+    keys,
+    blocked,
+    broken,
+    records,
+    issueTicket: (account = "club") =>
+      deps.tickets.issue(account, "booking", 1)[0] ?? "",
+    async close() {
+      await exchanger.close();
+      await listener.close();
+    },
+  };
+}
