Add the platform client and the process harness

Cause: the modules that read the store, hold leases or list instances need one client whose calls always end and which never takes its own write for another's.

Change: createPlatformClient speaks docs/platform_protocol.md over undici. Each call ends within its time-out, reading back included. A write whose answer is lost or late is settled by the write id; it is sent again only while the record still has the expected version. When that can't be told, because another write came after, the new code 306 store-write-unknown says so instead of a conflict. getLastAnsweredAtMs counts from the sending. testing/harness starts programs as processes and waits for their ready line; testing/platform/registration.ts registers targets.

--- a/src/result_codes.ts
+++ b/src/result_codes.ts
@@ -294,6 +294,13 @@
     "The store refused the call",
     "See the message",
   ),
+  storeWriteUnknown: code(
+    306,
+    "store-write-unknown",
+    0,
+    "The store's answer to a write was lost and reading back did not settle it",
+    "Read the record to see whether the write took effect",
+  ),
   tableSyntax: code(
     401,
     "table-syntax",
--- /dev/null
+++ b/tests/platform_test.ts
@@ -0,0 +1,481 @@
+import * as Net from "node:net";
+import * as fc from "fast-check";
+import { request } from "undici";
+import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
+import * as Clock from "../src/clock.ts";
+import * as Client from "../src/platform/client.ts";
+import * as ResultCodes from "../src/result_codes.ts";
+import * as Platform from "../testing/harness/platform.ts";
+import * as Process from "../testing/harness/process.ts";
+import * as Registration from "../testing/platform/registration.ts";
+import * as Wait from "../testing/harness/wait.ts";
+
+const TIMEOUT_MS = 600;
+/** Timers and scheduling on a busy machine. */
+const SLACK_MS = 250;
+
+let platform: Platform.PlatformProcess;
+let client: Client.ClosablePlatformClient;
+let keys = 0;
+
+/** A key that no other test uses. */
+function newKey(): string {
+  return `test/${++keys}`;
+}
+
+function getCode(
+  res: { isErr(): boolean; unwrapErr(): ResultCodes.Failure },
+): string {
+  return res.isErr() ? res.unwrapErr().code.name : "ok";
+}
+
+beforeAll(async () => {
+  platform = await Platform.startPlatform();
+  const address = platform.address;
+  client = Client.createPlatformClient({ address, timeoutMs: TIMEOUT_MS });
+});
+
+afterEach(async () => {
+  await platform.setFaults({
+    availability: "up",
+    slowMs: 0,
+    loseWrites: 0,
+    loseBy: "reset",
+    loseOps: ["cas", "remove"],
+    listLagMs: 0,
+  });
+});
+
+afterAll(async () => {
+  await client.close();
+  await Process.killAll();
+});
+
+describe("records", () => {
+  it("guards against two concurrent writers that both believe they won", async () => {
+    const key = newKey();
+    const results = await Promise.all(
+      Array.from(
+        { length: 40 },
+        (_, i) => client.cas(key, 0, `v${i}`, { writeId: `race-${key}-${i}` }),
+      ),
+    );
+    const winners = results.flatMap((res, i) => res.isOk() ? [i] : []);
+    expect(winners).toHaveLength(1);
+    const losers = results.filter((res) => res.isErr()).map(getCode);
+    expect(new Set(losers)).toEqual(new Set(["store-conflict"]));
+    const entry = (await client.get(key)).unwrap();
+    expect(entry?.value).toBe(`v${winners[0]}`);
+    expect(entry?.version).toBe(results[winners[0] ?? 0]?.unwrap());
+  });
+
+  it("guards against a version that is used again after a removal", async () => {
+    const key = newKey();
+    const first = (await client.cas(key, 0, "a", { writeId: "a" })).unwrap();
+    (await client.remove(key, first)).unwrap();
+    expect((await client.get(key)).unwrap()).toBeUndefined();
+    const second = (await client.cas(key, 0, "b", { writeId: "b" })).unwrap();
+    expect(second).toBeGreaterThan(first);
+    expect(getCode(await client.remove(key, first))).toBe("store-conflict");
+    expect((await client.get(key)).unwrap()?.value).toBe("b");
+  });
+
+  it("guards against a store that differs from a map with versions", async () => {
+    const op = fc.record({
+      kind: fc.constantFrom("cas", "stale-cas", "remove"),
+      name: fc.constantFrom("a", "b/c", "b/é ?&#%"),
+      value: fc.string({ unit: "binary", maxLength: 20 }),
+    });
+    await fc.assert(
+      fc.asyncProperty(fc.array(op, { maxLength: 12 }), async (ops) => {
+        const prefix = `${newKey()}/`;
+        const model = new Map<string, { value: string; version: number }>();
+        for (const [i, { kind, name, value }] of ops.entries()) {
+          const key = prefix + name;
+          const version = model.get(key)?.version ?? 0;
+          const writeId = `${prefix}${i}`;
+          if (kind === "remove") {
+            const res = await client.remove(key, Math.max(version, 1));
+            expect(res.isOk()).toBe(version > 0);
+            model.delete(key);
+          } else if (kind === "cas") {
+            const res = await client.cas(key, version, value, { writeId });
+            model.set(key, { value, version: res.unwrap() });
+          } else {
+            const res = await client.cas(key, version + 1, value, { writeId });
+            expect(getCode(res)).toBe("store-conflict");
+          }
+        }
+        const expected = [...model].map(([key, one]) => ({ key, ...one }))
+          .sort((a, b) => a.key < b.key ? -1 : 1);
+        expect((await client.list(prefix)).unwrap()).toEqual(expected);
+      }),
+      { numRuns: 25, verbose: 1 },
+    );
+  });
+
+  it("guards against a value over the limit reaching the store", async () => {
+    const key = newKey();
+    const fits = "é".repeat(Client.MAX_VALUE_BYTES / 2);
+    (await client.cas(key, 0, fits, { writeId: "fits" })).unwrap();
+    expect((await client.get(key)).unwrap()?.value).toBe(fits);
+    const res = await client.cas(newKey(), 0, `${fits}x`, { writeId: "over" });
+    expect(getCode(res)).toBe("value-too-large");
+    const raw = await put(newKey(), { ...CAS, value: `${fits}x` });
+    expect(raw).toBe(413);
+  });
+});
+
+const CAS = { expectedVersion: 0, value: "v", writeId: "w" };
+
+async function put(key: string, body: unknown): Promise<number> {
+  const query = new URLSearchParams({ key });
+  const res = await request(`http://${platform.address}/v1/entry?${query}`, {
+    method: "PUT",
+    body: typeof body === "string" ? body : JSON.stringify(body),
+  });
+  await res.body.dump();
+  return res.statusCode;
+}
+
+describe("malformed requests", () => {
+  const key = "test/malformed";
+  it.each([
+    ["no JSON", "{"],
+    ["no object", "[]"],
+    ["no version", { ...CAS, expectedVersion: undefined }],
+    ["a negative version", { ...CAS, expectedVersion: -1 }],
+    ["a fraction as version", { ...CAS, expectedVersion: 0.5 }],
+    ["a number as value", { ...CAS, value: 1 }],
+    ["no write id", { ...CAS, writeId: "" }],
+    ["a number as lease", { ...CAS, leaseId: 7 }],
+  ])("guards against a write with %s taking effect", async (_, body) => {
+    expect(await put(key, body)).toBe(400);
+    expect((await client.get(key)).unwrap()).toBeUndefined();
+  });
+
+  it("guards against unknown paths, methods and numbers passing as good", async () => {
+    const base = `http://${platform.address}`;
+    const getStatus = async (path: string, method: "GET" | "POST" = "GET") => {
+      const res = await request(base + path, { method });
+      await res.body.dump();
+      return res.statusCode;
+    };
+    expect(await getStatus("/v2/entry?key=a")).toBe(404);
+    expect(await getStatus("/v1/entry")).toBe(400);
+    expect(await getStatus("/v1/entry?key=a", "POST")).toBe(405);
+    expect(await getStatus("/v1/watch?after=x&waitMs=1")).toBe(400);
+    expect(await getStatus("/v1/watch?after=1&waitMs=99999999")).toBe(400);
+    expect(await getStatus("/v1/leases", "POST")).toBe(400);
+  });
+});
+
+describe("leases", () => {
+  it("guards against keys that outlive their lease", async () => {
+    const [kept, gone] = [newKey(), newKey()];
+    const lease = (await client.grantLease(300)).unwrap();
+    const opts = { writeId: "w", leaseId: lease };
+    (await client.cas(kept, 0, "v", { writeId: "w" })).unwrap();
+    (await client.cas(gone, 0, "v", opts)).unwrap();
+    const isGone = async () => (await client.get(gone)).unwrap() === undefined;
+    await Wait.waitFor(isGone, 2_000, "expiry of the lease");
+    expect((await client.get(kept)).unwrap()?.value).toBe("v");
+    expect(getCode(await client.renewLease(lease))).toBe("lease-lapsed");
+    const late = await client.cas(newKey(), 0, "v", opts);
+    expect(getCode(late)).toBe("lease-lapsed");
+  });
+
+  it("guards against a lease that ends although it is renewed", async () => {
+    const key = newKey();
+    const leaseId = (await client.grantLease(800)).unwrap();
+    (await client.cas(key, 0, "v", { writeId: "w", leaseId })).unwrap();
+    for (let i = 0; i < 10; i++) {
+      await Clock.sleep(150);
+      (await client.renewLease(leaseId)).unwrap();
+    }
+    expect((await client.get(key)).unwrap()?.value).toBe("v");
+    (await client.releaseLease(leaseId)).unwrap();
+    expect((await client.get(key)).unwrap()).toBeUndefined();
+    (await client.releaseLease(leaseId)).unwrap();
+  });
+
+  it("guards against an outage that stops the lease's time", async () => {
+    const key = newKey();
+    const leaseId = (await client.grantLease(200)).unwrap();
+    (await client.cas(key, 0, "v", { writeId: "w", leaseId })).unwrap();
+    await platform.setFaults({ availability: "refuse" });
+    const isGone = async () =>
+      !(await platform.getEntries()).some((one) => one.key === key);
+    await Wait.waitFor(isGone, 2_000, "expiry during the outage");
+    await platform.setFaults({ availability: "up" });
+    expect(getCode(await client.renewLease(leaseId))).toBe("lease-lapsed");
+  });
+});
+
+describe("lost answers", () => {
+  it.each(["reset", "silence"] as const)(
+    "guards against a conflict reported for the own write (%s)",
+    async (loseBy) => {
+      const key = newKey();
+      await platform.setFaults({ loseWrites: 1, loseBy });
+      const made = await client.cas(key, 0, "a", { writeId: `${key}-1` });
+      await platform.setFaults({ loseWrites: 1, loseBy });
+      const version = made.unwrap();
+      const changed = await client.cas(key, version, "b", {
+        writeId: `${key}-2`,
+      });
+      const entry = (await client.get(key)).unwrap();
+      expect(entry).toEqual({ key, value: "b", version: changed.unwrap() });
+      expect((await platform.setFaults({})).loseWrites).toBe(0);
+    },
+  );
+
+  it("guards against a removal reported as failed that took effect", async () => {
+    const key = newKey();
+    const version = (await client.cas(key, 0, "a", { writeId: "w" })).unwrap();
+    await platform.setFaults({ loseWrites: 1 });
+    (await client.remove(key, version)).unwrap();
+    expect((await client.get(key)).unwrap()).toBeUndefined();
+  });
+
+  it("guards against a second lease when the answer to the grant is lost", async () => {
+    await platform.setFaults({ loseWrites: 1, loseOps: ["grant"] });
+    const lease = (await client.grantLease(5_000)).unwrap();
+    (await client.renewLease(lease)).unwrap();
+    const { byOp } = await platform.getCounters();
+    expect(byOp["grant"]).toBeGreaterThanOrEqual(2);
+    (await client.releaseLease(lease)).unwrap();
+  });
+
+  it("guards against calling a write conflicting that may have been overwritten", async () => {
+    const key = newKey();
+    const first = (await client.cas(key, 0, "a", { writeId: "1" })).unwrap();
+    await platform.setFaults({ loseWrites: 1, loseBy: "silence" });
+    const lost = client.cas(key, first, "b", { writeId: "2" });
+    const other = Client.createPlatformClient({
+      address: platform.address,
+      timeoutMs: TIMEOUT_MS,
+    });
+    const second = await Wait.waitFor(
+      async () => {
+        const entry = (await other.get(key)).unwrap();
+        return entry?.value === "b" ? entry.version : undefined;
+      },
+      TIMEOUT_MS / 2,
+      "the write to take effect",
+    );
+    (await other.cas(key, second, "c", { writeId: "3" })).unwrap();
+    expect(getCode(await lost)).toBe("store-write-unknown");
+    await other.close();
+  });
+
+  it("guards against a lost write that is reported as not written when the store then goes down", async () => {
+    const key = newKey();
+    await platform.setFaults({ loseWrites: 1, loseBy: "silence" });
+    const pending = client.cas(key, 0, "a", { writeId: "w" });
+    const isWritten = async () =>
+      (await platform.getEntries()).some((one) => one.key === key);
+    await Wait.waitFor(isWritten, TIMEOUT_MS / 2, "the write to take effect");
+    await platform.setFaults({ availability: "refuse" });
+    expect(getCode(await pending)).toBe("store-write-unknown");
+  });
+});
+
+describe("outages", () => {
+  it.each(["refuse", "hang"] as const)(
+    "guards against calls that do not end within their time-out (%s)",
+    async (availability) => {
+      await platform.setFaults({ availability });
+      const calls: readonly (() => Promise<{ isOk(): boolean }>)[] = [
+        () => client.get("a"),
+        () => client.list("a"),
+        () => client.cas("a", 0, "v", { writeId: "w" }),
+        () => client.remove("a", 1),
+        () => client.grantLease(1_000),
+        () => client.renewLease("x"),
+        () => client.releaseLease("x"),
+        () => client.listInstances(),
+        () => client.watch("a", 1, 0),
+      ];
+      const durations = await Promise.all(calls.map(async (call) => {
+        const startedAt = performance.now();
+        expect((await call()).isOk()).toBe(false);
+        return performance.now() - startedAt;
+      }));
+      expect(Math.max(...durations)).toBeLessThan(TIMEOUT_MS + SLACK_MS);
+    },
+  );
+
+  it("guards against an age of the last answer that counts from its arrival", async () => {
+    await platform.setFaults({ slowMs: 200 });
+    const before = performance.now();
+    (await client.get("a")).unwrap();
+    const at = client.getLastAnsweredAtMs() ?? 0;
+    expect(at).toBeGreaterThanOrEqual(before);
+    expect(performance.now() - at).toBeGreaterThanOrEqual(190);
+    await platform.setFaults({ availability: "hang", slowMs: 0 });
+    await client.get("a");
+    expect(client.getLastAnsweredAtMs()).toBe(at);
+  });
+
+  it("guards against another server's 404 taken as an absent key", async () => {
+    const other = Client.createPlatformClient({
+      address: platform.control,
+      timeoutMs: TIMEOUT_MS,
+    });
+    expect(getCode(await other.get("a"))).toBe("store-error");
+    await other.close();
+  });
+
+  it("guards against a crash on garbage instead of HTTP", async () => {
+    const server = Net.createServer((socket) => {
+      socket.on("error", () => {});
+      socket.end("not http\r\n\r\n");
+    });
+    await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+    const { port } = server.address() as Net.AddressInfo;
+    const other = Client.createPlatformClient({
+      address: `127.0.0.1:${port}`,
+      timeoutMs: TIMEOUT_MS,
+    });
+    expect(getCode(await other.get("a"))).toBe("store-unreachable");
+    await other.close();
+    server.close();
+  });
+});
+
+describe("watches", () => {
+  it("guards against a change missed between two watches or during an outage", async () => {
+    const key = newKey();
+    const start = (await client.watch(key, 0, 0)).unwrap();
+    expect(start.isChanged).toBe(true);
+    const pending = client.watch(key, start.revision, 5_000);
+    const version = (await client.cas(key, 0, "a", { writeId: "1" })).unwrap();
+    const first = (await pending).unwrap();
+    expect(first.entries).toEqual([{ key, value: "a", version }]);
+
+    const cut = client.watch(key, first.revision, 5_000);
+    await Wait.waitFor(
+      async () => (await platform.getCounters()).pendingWatches === 1,
+      2_000,
+      "the watch to arrive",
+    );
+    const slow = Client.createPlatformClient({
+      address: platform.address,
+      timeoutMs: 5_000,
+    });
+    await platform.setFaults({ slowMs: 300 });
+    const late = slow.cas(key, version, "b", { writeId: "2" });
+    await platform.setFaults({ availability: "refuse" });
+    expect(getCode(await cut)).toBe("store-unreachable");
+    await platform.setFaults({ availability: "up", slowMs: 0 });
+    (await late).unwrap();
+    const next = (await client.watch(key, first.revision, 5_000)).unwrap();
+    expect(next.entries.map((one) => one.value)).toEqual(["b"]);
+    await slow.close();
+  });
+
+  it("guards against a watch that wakes for keys outside its prefix", async () => {
+    const key = newKey();
+    const { revision } = (await client.watch(key, 0, 0)).unwrap();
+    const pending = client.watch(key, revision, 150);
+    (await client.cas(newKey(), 0, "x", { writeId: "x" })).unwrap();
+    expect((await pending).unwrap().isChanged).toBe(false);
+  });
+
+  it("guards against a removal that a watch does not see, and against lost records without change", async () => {
+    const key = newKey();
+    const version = (await client.cas(key, 0, "a", { writeId: "1" })).unwrap();
+    const seen = (await client.watch(key, 0, 0)).unwrap();
+    const same = (await client.watch(key, seen.revision, 20)).unwrap();
+    expect(same).toMatchObject({ isChanged: false, entries: seen.entries });
+    (await client.remove(key, version)).unwrap();
+    const next = (await client.watch(key, seen.revision, 2_000)).unwrap();
+    expect(next).toMatchObject({ isChanged: true, entries: [] });
+  });
+
+  it("guards against a cancelled watch that goes on", async () => {
+    const abort = new AbortController();
+    const { revision } = (await client.watch("none", 0, 0)).unwrap();
+    const pending = client.watch("none", revision, 30_000, abort.signal);
+    abort.abort();
+    expect((await pending).isErr()).toBe(true);
+    await Wait.waitFor(
+      async () => (await platform.getCounters()).pendingWatches === 0,
+      2_000,
+      "the end of the watch at the platform",
+    );
+  });
+});
+
+describe("instance list", () => {
+  const instance = {
+    id: "t1",
+    service: "booking",
+    domain: "uusimaa-1",
+    region: "uusimaa",
+    address: "127.0.0.1:9",
+    slots: 7,
+    state: "live",
+  } as const;
+
+  async function getState(): Promise<string> {
+    const found = (await client.listInstances()).unwrap();
+    return found.find((one) => one.id === "t1")?.state ?? "absent";
+  }
+
+  const waitForState = (state: string) =>
+    Wait.waitFor(async () => await getState() === state, 3_000, state);
+
+  it("guards against a list that misses arrivals, states, removals and silent deaths", async () => {
+    const opts = { platform: platform.address, instance, ttlMs: 400 };
+    const first = Registration.createRegistration(opts);
+    await waitForState("live");
+    expect((await client.listInstances()).unwrap()).toEqual([instance]);
+    expect(await first.setState("leaving")).toBe(true);
+    expect(await getState()).toBe("leaving");
+    await first.stop({ remove: true });
+    expect(await getState()).toBe("absent");
+    const second = Registration.createRegistration(opts);
+    await waitForState("live");
+    await second.stop({ remove: false });
+    await waitForState("absent");
+  });
+
+  it("guards against a lag that shows the present, and a list that goes back in time", async () => {
+    const opts = { platform: platform.address, instance, ttlMs: 400 };
+    const registration = Registration.createRegistration(opts);
+    await waitForState("live");
+    await platform.setFaults({ listLagMs: 500 });
+    const changedAt = performance.now();
+    await registration.setState("leaving");
+    expect(await getState()).toBe("live");
+    await waitForState("leaving");
+    expect(performance.now() - changedAt).toBeGreaterThanOrEqual(490);
+    await platform.setFaults({ listLagMs: 100_000 });
+    expect(await getState()).toBe("leaving");
+    await platform.setFaults({ listLagMs: 0 });
+    await registration.stop({ remove: true });
+  });
+});
+
+describe("call counters", () => {
+  it("guards against calls that are not counted", async () => {
+    await platform.resetCounters();
+    await client.get("a");
+    await client.list("a");
+    const { revision } = (await client.watch("a", 0, 0)).unwrap();
+    const pending = client.watch("a", revision, 200);
+    const counters = await Wait.waitFor(
+      async () => {
+        const now = await platform.getCounters();
+        return now.pendingWatches === 1 ? now : undefined;
+      },
+      2_000,
+      "the pending watch",
+    );
+    expect(counters.byOp).toEqual({ get: 1, list: 1, watch: 2 });
+    await pending;
+    expect((await platform.getCounters()).total).toBe(4);
+  });
+});
