Add peer transport, authentication, heartbeats and membership

Cause: instances need authenticated calls to each other, a failure detector and a membership list that work without a second coordination service.

--- /dev/null
+++ b/src/peer/client.ts
@@ -0,0 +1,60 @@
+/** One connection to an instance, for the operators' tool. */
+import * as Crypto from "node:crypto";
+import { Err, type Result } from "ts-results-es";
+import * as Clock from "../clock.ts";
+import type * as ResultCodes from "../result_codes.ts";
+import type * as Types from "../types.ts";
+import * as Connection from "./connection.ts";
+import * as Dial from "./dial.ts";
+
+/** Calls an instance's methods. */
+export interface PeerClient {
+  /** Connects first when not connected. Fails like `Contracts.PeerNet.call`; peerAuth when the secrets differ. */
+  call<T>(
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result<T, ResultCodes.Failure>>;
+  /** Id of the connected instance; undefined before the first call. */
+  tryGetPeerId(): Types.InstanceId | undefined;
+  close(): void;
+}
+
+/** Creates a client; `id` names the tool in the instance's logs. */
+export function createPeerClient(args: {
+  readonly address: Types.Address;
+  readonly secret: string;
+  readonly id: string;
+}): PeerClient {
+  const server = Connection.createServer();
+  const incarnation = Crypto.randomUUID();
+  let conn: Connection.Connection | undefined;
+
+  async function connect(): ReturnType<typeof Dial.dial> {
+    const dialed = await Dial.dial({
+      address: args.address,
+      self: { id: args.id, incarnation, role: "tool", seq: 0 },
+      secret: args.secret,
+      server,
+      clock: Clock.systemClock,
+    });
+    if (dialed.isOk()) conn = dialed.value;
+    return dialed;
+  }
+
+  return {
+    async call<T>(method: string, params: unknown, timeoutMs: number) {
+      if (conn === undefined || conn.isClosed()) {
+        const dialed = await connect();
+        if (dialed.isErr()) return Err(dialed.error);
+        return dialed.value.call<T>(method, params, timeoutMs);
+      }
+      return conn.call<T>(method, params, timeoutMs);
+    },
+    tryGetPeerId: () => conn?.remote.id,
+    close() {
+      conn?.close("done");
+      conn = undefined;
+    },
+  };
+}
--- /dev/null
+++ b/src/peer/connection.ts
@@ -0,0 +1,169 @@
+/** JSON-RPC 2.0 in both directions over one authenticated connection. */
+import * as JsonRpc from "json-rpc-2.0";
+import { Ok, type Result } from "ts-results-es";
+import * as ResultCodes from "../result_codes.ts";
+import type * as Handshake from "./handshake.ts";
+import type * as LineSocket from "./line_socket.ts";
+import * as Wire from "./wire.ts";
+
+const CODE_TIMEOUT = -32_001;
+const CODE_TOO_LONG = -32_002;
+
+/** Handles the other side's calls; the connection tells who calls. */
+export type Server = JsonRpc.JSONRPCServer<Connection>;
+
+/** An authenticated connection. */
+export interface Connection {
+  readonly remote: Handshake.Identity;
+  readonly isInitiator: boolean;
+  /** The initiator's number of the connection; grows with each one. */
+  readonly seq: number;
+  /** Monotonic ms at which the handshake began. */
+  readonly openedAtMs: number;
+  /**
+   * Fails with peerUnreachable when nothing was sent, peerTimeout when the call
+   * may have run, peerError when the handler failed.
+   */
+  call<T>(
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result<T, ResultCodes.Failure>>;
+  notify(method: string, params: unknown): void;
+  /** Counts a tick without data; returns the ticks since data last arrived. */
+  countSilentTick(): number;
+  /** True when no call is pending in either direction. */
+  isIdle(): boolean;
+  readonly closed: Promise<string>;
+  isClosed(): boolean;
+  close(reason: string): void;
+  getBytes(): { readonly received: number; readonly sent: number };
+}
+
+/** Creates the server for `createConnection`; its error listener stays quiet, as the caller gets the error. */
+export function createServer(): Server {
+  return new JsonRpc.JSONRPCServer<Connection>({ errorListener: () => {} });
+}
+
+function isTooLong(line: string): boolean {
+  // A UTF-16 unit takes at most three bytes in UTF-8.
+  if (line.length * 3 <= Wire.MAX_LINE_BYTES) return false;
+  return Buffer.byteLength(line) > Wire.MAX_LINE_BYTES;
+}
+
+function toFailure(method: string, err: unknown, isClosed: boolean) {
+  if (!(err instanceof JsonRpc.JSONRPCErrorException)) {
+    return ResultCodes.fail("peerError", `${method}: ${String(err)}`);
+  }
+  switch (err.code) {
+    case CODE_TIMEOUT:
+      return ResultCodes.fail("peerTimeout", `${method}: no answer in time`);
+    case CODE_TOO_LONG:
+      return ResultCodes.fail("peerMessage", `${method}: message over 2 MB`);
+    default:
+      if (isClosed) {
+        return ResultCodes.fail("peerTimeout", `${method}: ${err.message}`);
+      }
+      return ResultCodes.fail("peerError", `${method}: ${err.message}`);
+  }
+}
+
+/** Starts JSON-RPC on a socket whose handshake is done. */
+export function createConnection(args: {
+  readonly socket: LineSocket.LineSocket;
+  readonly remote: Handshake.Identity;
+  readonly isInitiator: boolean;
+  readonly seq: number;
+  readonly openedAtMs: number;
+  readonly server: Server;
+}): Connection {
+  const { socket, server } = args;
+  let silentTicks = 0;
+  let bytesAtTick = 0;
+  let pending = 0;
+  const client: JsonRpc.JSONRPCClient = new JsonRpc.JSONRPCClient((payload) => {
+    const line = JSON.stringify(payload);
+    if (isTooLong(line)) {
+      if (payload.id === undefined) return;
+      return client.receive(
+        JsonRpc.createJSONRPCErrorResponse(payload.id, CODE_TOO_LONG, ""),
+      );
+    }
+    socket.write(line);
+  });
+
+  async function answer(request: JsonRpc.JSONRPCRequest): Promise<void> {
+    pending++;
+    const res = await server.receive(request, connection);
+    pending--;
+    if (res === null) return;
+    const line = JSON.stringify(res);
+    if (!isTooLong(line)) return void socket.write(line);
+    const tooLong = JsonRpc.createJSONRPCErrorResponse(
+      res.id,
+      CODE_TOO_LONG,
+      "answer over 2 MB",
+    );
+    socket.write(JSON.stringify(tooLong));
+  }
+
+  function countSilentTick(): number {
+    const { received } = socket.getBytes();
+    silentTicks = received === bytesAtTick ? silentTicks + 1 : 0;
+    bytesAtTick = received;
+    return silentTicks;
+  }
+
+  function receive(line: string): void {
+    const message = Wire.tryParseObject(line);
+    if (message === undefined) return socket.close("malformed message");
+    if (JsonRpc.isJSONRPCRequest(message)) return void answer(message);
+    if (JsonRpc.isJSONRPCResponse(message)) return client.receive(message);
+    socket.close("malformed message");
+  }
+
+  async function call<T>(
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result<T, ResultCodes.Failure>> {
+    if (socket.isClosed()) {
+      return ResultCodes.fail("peerUnreachable", "connection closed");
+    }
+    pending++;
+    const timed = client.timeout(
+      timeoutMs,
+      (id) => JsonRpc.createJSONRPCErrorResponse(id, CODE_TIMEOUT, ""),
+    );
+    try {
+      return Ok(await timed.request(method, params));
+    } catch (err) {
+      return toFailure(method, err, socket.isClosed());
+    } finally {
+      pending--;
+    }
+  }
+
+  const connection: Connection = {
+    remote: args.remote,
+    isInitiator: args.isInitiator,
+    seq: args.seq,
+    openedAtMs: args.openedAtMs,
+    call,
+    notify(method, params) {
+      client.notify(method, params);
+    },
+    countSilentTick,
+    isIdle: () => pending === 0,
+    closed: socket.closed,
+    isClosed: socket.isClosed,
+    close: socket.close,
+    getBytes: socket.getBytes,
+  };
+  socket.onLine(receive);
+  // The library answers pending calls with its default error code.
+  socket.closed.then((reason) =>
+    client.rejectAllPendingRequests(`connection lost: ${reason}`)
+  );
+  return connection;
+}
--- /dev/null
+++ b/src/peer/dial.ts
@@ -0,0 +1,73 @@
+/** Opens one authenticated connection. */
+import * as Net from "node:net";
+import { Err, Ok, type Result } from "ts-results-es";
+import type * as Clock from "../clock.ts";
+import * as ResultCodes from "../result_codes.ts";
+import type * as Types from "../types.ts";
+import * as Connection from "./connection.ts";
+import * as Handshake from "./handshake.ts";
+import * as LineSocket from "./line_socket.ts";
+import * as Wire from "./wire.ts";
+
+/** Longest wait for TCP to connect. */
+export const CONNECT_TIMEOUT_MS = 2_000;
+
+/** Detail of a failure that shows that no process listens at the address. */
+export const REFUSED = "connection refused";
+/** Detail of a failure that leaves open whether the process runs. */
+export const SILENT = "no answer";
+
+function connect(
+  address: Types.Address,
+): Promise<Result<Net.Socket, ResultCodes.Failure>> {
+  const parsed = Wire.tryParseAddress(address);
+  if (parsed === undefined || parsed.port === 0) {
+    const failed = ResultCodes.fail("peerUnreachable", `address ${address}`);
+    return Promise.resolve(failed);
+  }
+  return new Promise((resolve) => {
+    const socket = Net.connect(parsed);
+    const giveUp = (detail: string) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(ResultCodes.fail("peerUnreachable", detail));
+    };
+    const timer = setTimeout(() => giveUp(SILENT), CONNECT_TIMEOUT_MS);
+    socket.once("error", (err: Error & { readonly code?: string }) => {
+      const isRefused = err.code === "ECONNREFUSED";
+      giveUp(isRefused ? REFUSED : `${SILENT}: ${err.code ?? err.message}`);
+    });
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      socket.removeAllListeners("error");
+      resolve(Ok(socket));
+    });
+  });
+}
+
+/** Connects and authenticates; `peerUnreachable` details start with REFUSED or SILENT. */
+export async function dial(args: {
+  readonly address: Types.Address;
+  readonly self: Handshake.Identity;
+  readonly secret: string;
+  readonly server: Connection.Server;
+  readonly clock: Clock.Clock;
+}): Promise<Result<Connection.Connection, ResultCodes.Failure>> {
+  const connected = await connect(args.address);
+  if (connected.isErr()) return connected;
+  const openedAtMs = args.clock.nowMs();
+  const socket = LineSocket.createLineSocket(connected.value);
+  const remote = await Handshake.initiate(socket, args.self, args.secret);
+  if (remote.isErr()) {
+    socket.close("handshake failed");
+    return Err(remote.error);
+  }
+  return Ok(Connection.createConnection({
+    socket,
+    remote: remote.value,
+    isInitiator: true,
+    seq: args.self.seq,
+    openedAtMs,
+    server: args.server,
+  }));
+}
--- /dev/null
+++ b/src/peer/heartbeat.ts
@@ -0,0 +1,143 @@
+/**
+ * Encoding of heartbeats on one connection.
+ *
+ * The parameters are `[t, echo, heldMs, storeSeenMsAgo, relayedStoreSeenMsAgo,
+ * load, rare?]`. `t` is the sender's time in ms since it opened the connection;
+ * `echo` is the last `t` that it received (-1: none yet), and `heldMs` the time
+ * since then. `rare` holds the other fields that changed since the previous
+ * heartbeat, as most never change and 620 nodes have 8 KB/s each.
+ *
+ * The echo bounds a heartbeat's age on the receiver's clock: it was sent no
+ * earlier than `heldMs` after the receiver sent the echoed one. A heartbeat that
+ * was delayed in a buffer, or read late by a paused process, never looks young.
+ */
+import type * as Types from "../types.ts";
+import * as Wire from "./wire.ts";
+
+/** Ages are cut off here, as JSON has no infinity; about 11 days. */
+export const MAX_AGE_MS = 1e9;
+
+const FIRST_RARE_INDEX = 6;
+const STATES: readonly unknown[] = ["starting", "live", "leaving"];
+
+/** Parameters of the `heartbeat` notification. */
+export type Params = readonly unknown[];
+
+/** A heartbeat as it arrived. */
+export interface Received {
+  readonly heartbeat: Types.Heartbeat;
+  /** Monotonic ms of the receiver before which it was not sent. */
+  readonly sentAtMs: number;
+}
+
+/** Both directions of one connection. */
+export interface Codec {
+  encode(heartbeat: Types.Heartbeat, nowMs: number): Params;
+  /** Undefined when malformed or from another id or incarnation. */
+  decode(params: unknown, nowMs: number): Received | undefined;
+}
+
+/** Age for the wire: rounded up, so that relaying never makes evidence younger. */
+export function encodeAge(ageMs: number): number {
+  return ageMs < MAX_AGE_MS ? Math.max(0, Math.ceil(ageMs)) : MAX_AGE_MS;
+}
+
+/** Checks the shape of a whole heartbeat, for example from `members.list`. */
+export function tryReadHeartbeat(raw: unknown): Types.Heartbeat | undefined {
+  if (!Wire.isObject(raw)) return undefined;
+  const { shards, state } = raw;
+  const texts = [raw.id, raw.incarnation, raw.domain, raw.region];
+  const addresses = [raw.callerAddress, raw.peerAddress];
+  const numbers = [
+    raw.tableRevision,
+    raw.keysRevision,
+    raw.storeSeenMsAgo,
+    raw.relayedStoreSeenMsAgo,
+    raw.load,
+  ];
+  const isGood = [...texts, ...addresses].every(isText) &&
+    numbers.every(isCount) && STATES.includes(state) &&
+    Array.isArray(shards) && shards.every(isCount);
+  // Every field was checked above.
+  return isGood ? raw as unknown as Types.Heartbeat : undefined;
+}
+
+function isText(value: unknown): boolean {
+  return typeof value === "string" && value.length <= 300;
+}
+
+function isCount(value: unknown): boolean {
+  return typeof value === "number" && Number.isFinite(value) && value >= 0;
+}
+
+type RareFields = Omit<
+  Types.Heartbeat,
+  "storeSeenMsAgo" | "relayedStoreSeenMsAgo" | "load"
+>;
+
+function getChanged(
+  next: RareFields,
+  previous: ReadonlyMap<string, string>,
+): readonly (readonly [string, unknown, string])[] {
+  return Object.entries(next)
+    .map(([name, value]) => [name, value, JSON.stringify(value)] as const)
+    .filter(([name, , text]) => previous.get(name) !== text);
+}
+
+/** Creates the codec of a connection that was opened at `openedAtMs` and leads to `remote`. */
+export function createCodec(
+  openedAtMs: number,
+  remote: { readonly id: Types.InstanceId; readonly incarnation: string },
+): Codec {
+  const sent = new Map<string, string>();
+  let received: RareFields | undefined;
+  let lastStamp = -1;
+  let lastStampAtMs = 0;
+
+  function isFromRemote(heartbeat: Types.Heartbeat): boolean {
+    return heartbeat.id === remote.id &&
+      heartbeat.incarnation === remote.incarnation;
+  }
+
+  return {
+    encode(heartbeat, nowMs) {
+      const { storeSeenMsAgo, relayedStoreSeenMsAgo, load, ...rare } =
+        heartbeat;
+      const changed = getChanged(rare, sent);
+      for (const [name, , text] of changed) sent.set(name, text);
+      const params = [
+        Math.floor(nowMs - openedAtMs),
+        lastStamp,
+        lastStamp < 0 ? 0 : Math.floor(nowMs - lastStampAtMs),
+        encodeAge(storeSeenMsAgo),
+        encodeAge(relayedStoreSeenMsAgo),
+        Number.isFinite(load) ? Math.max(0, Math.round(load * 100) / 100) : 0,
+      ];
+      if (changed.length === 0) return params;
+      return [...params, Object.fromEntries(changed)];
+    },
+    decode(params, nowMs) {
+      if (!Array.isArray(params)) return undefined;
+      const [stamp, echo, heldMs, storeSeenMsAgo, relayed, load] = params;
+      if (![stamp, heldMs].every(isCount) || typeof echo !== "number") {
+        return undefined;
+      }
+      const rare = params[FIRST_RARE_INDEX];
+      const heartbeat = tryReadHeartbeat({
+        ...received,
+        ...(Wire.isObject(rare) ? rare : {}),
+        storeSeenMsAgo,
+        relayedStoreSeenMsAgo: relayed,
+        load,
+      });
+      if (heartbeat === undefined || !isFromRemote(heartbeat)) return undefined;
+      received = heartbeat;
+      lastStamp = stamp;
+      lastStampAtMs = nowMs;
+      const sinceOpenMs = echo < 0 ? 0 : echo + heldMs;
+      // A peer that claims more than is possible must not look younger than now.
+      const sentAtMs = Math.min(nowMs, openedAtMs + sinceOpenMs);
+      return { heartbeat, sentAtMs };
+    },
+  };
+}
--- /dev/null
+++ b/src/peer/net.ts
@@ -0,0 +1,279 @@
+/** The peers of this instance: connections, heartbeats, membership, calls. */
+import type * as Clock from "../clock.ts";
+import type * as Contracts from "../contracts.ts";
+import type * as Log from "../log.ts";
+import type * as Supervisor from "../supervisor.ts";
+import type * as Types from "../types.ts";
+import * as Calls from "./calls.ts";
+import * as Connection from "./connection.ts";
+import * as Dial from "./dial.ts";
+import * as Dialer from "./dialer.ts";
+import * as Discovery from "./discovery.ts";
+import type * as Handshake from "./handshake.ts";
+import * as Heartbeat from "./heartbeat.ts";
+import * as Listener from "./listener.ts";
+import * as Members from "./members.ts";
+import * as Mesh from "./mesh.ts";
+import * as Registry from "./registry.ts";
+import * as Tasks from "./tasks.ts";
+
+/** Time between heartbeats. */
+export const HEARTBEAT_INTERVAL_MS = 1_000;
+
+const TICK_MS = 500;
+/**
+ * Ticks without data after which a connection is destroyed. Counting ticks
+ * rather than time spares the connections when this process itself was paused.
+ */
+const MAX_SILENT_TICKS = 7;
+/** The operators' tool sends no heartbeats; its calls last seconds. */
+const TOOL_MAX_SILENT_TICKS = 240;
+
+/** Whether a peer answers; "refused" shows that its process has ended. */
+export type Reachability = Calls.Reachability;
+
+/** The peers, with what the daemon needs beyond the contract. */
+export interface Net extends Contracts.PeerNet {
+  /** Starts to listen and to connect; returns the bound address. */
+  listen(): Promise<Types.Address>;
+  close(): Promise<void>;
+  getReachability(id: Types.InstanceId): Reachability;
+  /** Peers with an open connection. */
+  getConnectedCount(): number;
+  /** Bytes of all peer connections since the start. */
+  getBytes(): { readonly received: number; readonly sent: number };
+}
+
+/** Arguments of `createPeerNet`. */
+export interface NetArgs {
+  readonly self: Types.InstanceId;
+  readonly incarnation: string;
+  readonly domain: Types.Domain;
+  readonly listen: Types.Address;
+  readonly seeds: readonly Types.Address[];
+  readonly secret: string;
+  readonly getHeartbeat: () => Types.Heartbeat;
+  readonly supervisor: Supervisor.Supervisor;
+  readonly log: Log.Logger;
+  readonly clock: Clock.Clock;
+}
+
+/** Creates the peer net; nothing happens before `listen()`. */
+export function createPeerNet(args: NetArgs): Net {
+  const { self, incarnation, secret, clock, log } = args;
+  const server = Connection.createServer();
+  const tasks = Tasks.createTaskGroup(log);
+  const changes = Tasks.createNotifier();
+  const registry = Registry.createRegistry(self, incarnation, log);
+  const codecs = new WeakMap<Connection.Connection, Heartbeat.Codec>();
+  const tools = new Set<Connection.Connection>();
+  const listeners: ((heartbeat: Types.Heartbeat) => void)[] = [];
+  const closedBytes = { received: 0, sent: 0 };
+  let mesh: ReadonlySet<Types.InstanceId> = new Set();
+  let lastSeq = 0;
+
+  const members = Members.createMembers(self, (id) => mesh.has(id), clock);
+  const identity: Handshake.Identity = {
+    id: self,
+    incarnation,
+    role: "peer",
+    seq: 0,
+  };
+  const dialer = Dialer.createDialer({
+    dial: (address) =>
+      Dial.dial({
+        address,
+        self: { ...identity, seq: ++lastSeq },
+        secret,
+        server,
+        clock,
+      }),
+    serve,
+    isWanted,
+    isMoved: (id, address) =>
+      members.tryGet(id)?.heartbeat.peerAddress !== address,
+    seeds: args.seeds,
+    tasks,
+    notifier: changes,
+    log,
+    clock,
+  });
+  const listener = Listener.createListener({
+    listen: args.listen,
+    self: identity,
+    secret,
+    server,
+    tasks,
+    serve,
+    log,
+    clock,
+  });
+
+  const calls = Calls.createCalls({
+    members,
+    registry,
+    dialer,
+    isMeshed: (id) => mesh.has(id),
+    changes,
+    clock,
+  });
+
+  function isWanted(id: Types.InstanceId): boolean {
+    if (id === self || registry.tryGet(id) !== undefined) return false;
+    return mesh.has(id) || calls.isDemanded(id);
+  }
+
+  async function serve(conn: Connection.Connection): Promise<void> {
+    if (conn.remote.role === "tool") {
+      tools.add(conn);
+      await conn.closed;
+      tools.delete(conn);
+      return;
+    }
+    if (!registry.add(conn)) return;
+    sendHeartbeat(conn, args.getHeartbeat());
+    changes.notify();
+    const reason = await conn.closed;
+    registry.remove(conn);
+    closedBytes.received += conn.getBytes().received;
+    closedBytes.sent += conn.getBytes().sent;
+    calls.noteLost(conn.remote.id);
+    log.info("peer-connection-closed", { peer: conn.remote.id, reason });
+    changes.notify();
+  }
+
+  function getCodec(conn: Connection.Connection): Heartbeat.Codec {
+    const known = codecs.get(conn);
+    if (known !== undefined) return known;
+    const codec = Heartbeat.createCodec(conn.openedAtMs, conn.remote);
+    codecs.set(conn, codec);
+    return codec;
+  }
+
+  function sendHeartbeat(
+    conn: Connection.Connection,
+    heartbeat: Types.Heartbeat,
+  ): void {
+    const params = getCodec(conn).encode(heartbeat, clock.nowMs());
+    conn.notify("heartbeat", params);
+  }
+
+  function receiveHeartbeat(
+    params: unknown,
+    conn: Connection.Connection,
+  ): void {
+    // A connection that was replaced must not speak for its id any more.
+    if (conn.isClosed() || conn.remote.role !== "peer") return;
+    const received = getCodec(conn).decode(params, clock.nowMs());
+    if (received === undefined) return conn.close("malformed heartbeat");
+    const { heartbeat } = received;
+    const before = members.tryGet(heartbeat.id);
+    members.noteHeartbeat(received);
+    const isMoved = before?.heartbeat.peerAddress !== heartbeat.peerAddress;
+    if (isMoved) learnAddress(heartbeat);
+    for (const fn of listeners) fn(heartbeat);
+  }
+
+  function learnAddress(heartbeat: Types.Heartbeat): void {
+    updateMesh();
+    dialer.add(heartbeat.peerAddress, heartbeat.id);
+  }
+
+  function updateMesh(): void {
+    const known = members.getAll().map(({ heartbeat }) => ({
+      id: heartbeat.id,
+      domain: heartbeat.domain,
+      isUsable: !calls.isFailing(heartbeat.id),
+    }));
+    const next = Mesh.selectPeers({ id: self, domain: args.domain }, known);
+    const isGrown = [...next].some((id) => !mesh.has(id));
+    mesh = next;
+    if (isGrown) dialer.wake();
+  }
+
+  function closeUnneeded(): void {
+    for (const conn of registry.getChosen()) {
+      const { id } = conn.remote;
+      const isOld = clock.nowMs() - conn.openedAtMs > Calls.DEMAND_MS;
+      if (!conn.isInitiator || !isOld || !conn.isIdle()) continue;
+      if (!mesh.has(id) && !calls.isDemanded(id)) conn.close("not needed");
+    }
+  }
+
+  function beat(): void {
+    members.forget((id) => calls.getReachability(id) === "refused");
+    calls.forget();
+    updateMesh();
+    closeUnneeded();
+    const heartbeat = args.getHeartbeat();
+    for (const conn of registry.getAll()) sendHeartbeat(conn, heartbeat);
+  }
+
+  function tick(): void {
+    registry.tick(MAX_SILENT_TICKS);
+    for (const conn of tools) {
+      const silent = conn.countSilentTick();
+      if (silent >= TOOL_MAX_SILENT_TICKS) conn.close("idle");
+    }
+  }
+
+  async function close(): Promise<void> {
+    const closed = listener.close();
+    await tasks.stop();
+    await closed;
+  }
+
+  server.addMethod("heartbeat", (p, conn) => receiveHeartbeat(p, conn));
+  server.addMethod(
+    "members.list",
+    () => Members.encodeList(args.getHeartbeat(), members.getAll()),
+  );
+
+  return {
+    self,
+    incarnation,
+    getMembers: members.getAll,
+    tryGetMember: members.tryGet,
+    call: calls.call,
+    notifyAll(method, params) {
+      for (const conn of registry.getChosen()) conn.notify(method, params);
+    },
+    handle(method, fn) {
+      server.addMethod(method, (params, conn) => fn(params, conn.remote.id));
+    },
+    onHeartbeat: (fn) => void listeners.push(fn),
+    addPeerAddresses: (addresses) => addresses.forEach((a) => dialer.add(a)),
+    getReachability: calls.getReachability,
+    getConnectedCount: () => registry.getChosen().length,
+    getBytes() {
+      const sum = { ...closedBytes };
+      for (const conn of registry.getAll()) {
+        sum.received += conn.getBytes().received;
+        sum.sent += conn.getBytes().sent;
+      }
+      return sum;
+    },
+    async listen() {
+      const address = await listener.listen();
+      args.seeds.forEach((seed) => dialer.add(seed));
+      args.supervisor.every("peer-heartbeats", HEARTBEAT_INTERVAL_MS, beat);
+      args.supervisor.every("peer-silence", TICK_MS, tick);
+      Discovery.start({
+        supervisor: args.supervisor,
+        clock,
+        getConnections: registry.getChosen,
+        getMemberCount: () => members.getAll().length + 1,
+        takeList: (raw, askedAtMs) =>
+          members.noteList(raw, askedAtMs).forEach(learnAddress),
+      });
+      args.supervisor.run("peer-net", async (signal) => {
+        if (!signal.aborted) {
+          await new Promise((done) => signal.addEventListener("abort", done));
+        }
+        await close();
+      });
+      return address;
+    },
+    close,
+  };
+}
