--- /dev/null
+++ b/tests/keys_test.ts
@@ -0,0 +1,87 @@
+import * as fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import * as Keys from "../src/keys/keys.ts";
+import type * as Types from "../src/types.ts";
+
+function createRecord(
+  accounts: Readonly<Record<string, readonly string[]>>,
+  withdrawn: readonly string[] = [],
+): Types.KeysRecord {
+  const entries = Object.entries(accounts).map(([account, keys]) => [
+    account,
+    keys.map((key) => ({ id: key, digest: Keys.computeDigest(key) })),
+  ]);
+  return {
+    writeId: "w",
+    accounts: Object.fromEntries(entries),
+    withdrawn: withdrawn.map(Keys.computeDigest),
+  };
+}
+
+describe("keys", () => {
+  it("names missing, unknown and withdrawn keys apart", () => {
+    const keys = Keys.createKeys();
+    expect(keys.authenticate("k1").unwrapErr().code.number).toBe(102);
+    keys.setRecord(1, createRecord({ tenda: ["k1", "k2"] }, ["k2"]));
+    const good = keys.authenticate("k1").unwrap();
+    expect(good).toEqual({
+      account: "tenda",
+      digest: Keys.computeDigest("k1"),
+    });
+    expect(keys.authenticate(undefined).unwrapErr().code.number).toBe(101);
+    expect(keys.authenticate("").unwrapErr().code.number).toBe(101);
+    expect(keys.authenticate("k3").unwrapErr().code.number).toBe(102);
+    expect(keys.authenticate("k2").unwrapErr().code.number).toBe(103);
+    expect(keys.isKnownKey("k2") && keys.isKnownKey("k1")).toBe(true);
+    expect(keys.isKnownKey("k3")).toBe(false);
+  });
+
+  it("checks queued requests again by digest", () => {
+    const keys = Keys.createKeys();
+    keys.setRecord(1, createRecord({ tenda: ["k1"] }));
+    const { digest } = keys.authenticate("k1").unwrap();
+    expect(keys.check(digest).unwrap()).toBe("tenda");
+    keys.addWithdrawn([digest]);
+    expect(keys.check(digest).unwrapErr().code.number).toBe(103);
+    expect(keys.check("__proto__").unwrapErr().code.number).toBe(102);
+  });
+
+  it("never takes a withdrawn key back, whatever order records arrive in", () => {
+    const names = ["a", "b", "c"];
+    const step = fc.record({
+      revision: fc.integer({ min: 1, max: 6 }),
+      issued: fc.subarray(names),
+      withdrawn: fc.subarray(names),
+    });
+    fc.assert(fc.property(fc.array(step, { maxLength: 12 }), (steps) => {
+      const keys = Keys.createKeys();
+      const gone = new Set<string>();
+      let highest = 0;
+      for (const { revision, issued, withdrawn } of steps) {
+        const record = createRecord({ acct: issued }, withdrawn);
+        expect(keys.setRecord(revision, record)).toBe(revision > highest);
+        highest = Math.max(highest, revision);
+        withdrawn.forEach((key) => gone.add(key));
+        for (const key of gone) {
+          expect(keys.authenticate(key).unwrapErr().code.number).toBe(103);
+        }
+      }
+    }));
+  });
+
+  it("refuses malformed records instead of losing keys or withdrawals", () => {
+    const good = createRecord({ tenda: ["k1"] }, ["k2"]);
+    expect(Keys.parseRecord(good).isOk()).toBe(true);
+    const bad = [
+      null,
+      [],
+      { ...good, writeId: 1 },
+      { ...good, withdrawn: ["K2"] },
+      { ...good, accounts: [] },
+      { ...good, accounts: { tenda: [{ id: "x", digest: "zz" }] } },
+    ];
+    for (const raw of bad) {
+      expect(Keys.parseRecord(raw).unwrapErr().code.number).toBe(305);
+    }
+  });
+});
