--- /dev/null
+++ b/src/budget/division.ts
@@ -0,0 +1,228 @@
+/**
+ * Division of every limit of the table over domains and their shards.
+ *
+ * Promise: the shares of a key over all domains and shards add up to exactly
+ * its fleet-wide limit, in integer millionths of a token. It breaks when
+ * instances use different tables, which the table change rules bound.
+ */
+import type * as Contracts from "../contracts.ts";
+import type * as Types from "../types.ts";
+import type { Limits } from "./bucket.ts";
+
+/** Shards of each domain. */
+export const SHARDS_PER_DOMAIN = 8;
+/** Shares are whole multiples of 1/MICRO token. */
+export const MICRO = 1_000_000;
+
+// A sliding one-second window sees at most rate + burst = 95% of the cap; 5%
+// is left for jitter between instance and target.
+const CAP_RATE = 0.85;
+const CAP_BURST = 0.10;
+const HOME_SHARE = 0.7;
+// Rate plus burst of a link stay within its capacity in any one-second window.
+const LINK_RATE = 0.9;
+const LINK_BURST_S = 0.1;
+const BYTES_PER_MBIT = 125_000;
+
+/** Shares of all budgets under one table. */
+export interface Division {
+  readonly revision: number;
+  readonly keys: readonly Contracts.BudgetKey[];
+  /** The fleet-wide limit. */
+  getLimit(key: Contracts.BudgetKey): Limits;
+  getDomainShare(domain: Types.Domain, key: Contracts.BudgetKey): Limits;
+  getShardShare(
+    domain: Types.Domain,
+    shard: number,
+    key: Contracts.BudgetKey,
+  ): Limits;
+  /** Longest time a request may take, so also between a take and its refund. */
+  getDeadlineMs(key: Contracts.BudgetKey): number;
+}
+
+const NOTHING: Limits = { rate: 0, burst: 0 };
+
+function toMicro(limits: Limits): Limits {
+  return {
+    rate: Math.round(limits.rate * MICRO),
+    burst: Math.round(limits.burst * MICRO),
+  };
+}
+
+function fromMicro(limits: Limits): Limits {
+  return { rate: limits.rate / MICRO, burst: limits.burst / MICRO };
+}
+
+function splitInteger(total: number, parts: number, index: number): number {
+  const base = Math.floor(total / parts);
+  return index < total - base * parts ? base + 1 : base;
+}
+
+function splitEqually(total: Limits, parts: number, index: number): Limits {
+  return {
+    rate: splitInteger(total.rate, parts, index),
+    burst: splitInteger(total.burst, parts, index),
+  };
+}
+
+/** 32-bit FNV-1a with a final mix, equal on every instance. */
+export function hashText(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let i = 0; i < text.length; i++) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/** The shards of a domain that divide a key, highest rendezvous score first. */
+export function chooseShards(
+  domain: Types.Domain,
+  key: Contracts.BudgetKey,
+  count: number,
+): readonly number[] {
+  const scored = Array.from({ length: SHARDS_PER_DOMAIN }, (_, shard) => ({
+    shard,
+    score: hashText(`${domain}/${shard}/${key}`),
+  }));
+  scored.sort((a, b) => b.score - a.score || a.shard - b.shard);
+  return scored.slice(0, count).map((entry) => entry.shard);
+}
+
+/** Rate and burst of a region cap, in requests. */
+export function getCapLimits(capRps: number): Limits {
+  // A burst below one request would admit nothing. With a burst of 1 a window
+  // sees at most floor(1 + 0.85 x cap) requests, which is within a whole cap.
+  const burst = capRps >= 1 ? Math.max(1, CAP_BURST * capRps) : 0;
+  return { rate: CAP_RATE * capRps, burst };
+}
+
+type DomainShares = ReadonlyMap<Types.Domain, Limits>;
+
+function divideOver(
+  shares: Map<Types.Domain, Limits>,
+  total: Limits,
+  domains: readonly Types.Domain[],
+): void {
+  domains.forEach((domain, i) => {
+    const old = shares.get(domain) ?? NOTHING;
+    const more = splitEqually(total, domains.length, i);
+    shares.set(domain, {
+      rate: old.rate + more.rate,
+      burst: old.burst + more.burst,
+    });
+  });
+}
+
+function divideCap(row: Types.Row, all: readonly Types.Domain[]): DomainShares {
+  const total = toMicro(getCapLimits(row.capRps));
+  const others = all.filter((domain) => !row.domains.includes(domain));
+  const homePart = others.length === 0
+    ? 1
+    : row.domains.length === 0
+    ? 0
+    : HOME_SHARE;
+  const home = {
+    rate: Math.round(total.rate * homePart),
+    burst: Math.round(total.burst * homePart),
+  };
+  const rest = {
+    rate: total.rate - home.rate,
+    burst: total.burst - home.burst,
+  };
+  const shares = new Map<Types.Domain, Limits>();
+  divideOver(shares, home, row.domains);
+  divideOver(shares, rest, others);
+  return shares;
+}
+
+function divideLink(
+  row: Types.Row,
+  all: readonly Types.Domain[],
+): DomainShares {
+  const bytesPerS = row.linkMbps * BYTES_PER_MBIT;
+  const total = toMicro({
+    rate: bytesPerS * LINK_RATE,
+    burst: bytesPerS * LINK_BURST_S,
+  });
+  const outside = all.filter((domain) => !row.domains.includes(domain));
+  const shares = new Map<Types.Domain, Limits>();
+  divideOver(shares, total, outside);
+  return shares;
+}
+
+function divideTable(
+  table: Types.Table,
+): Map<Contracts.BudgetKey, Map<Types.Domain, Limits>> {
+  const all = [...table.domains.keys()].sort();
+  const byKey = new Map<Contracts.BudgetKey, Map<Types.Domain, Limits>>();
+  for (const rules of table.services.values()) {
+    for (const row of rules.rows) {
+      for (const [account, cell] of row.accounts) {
+        const key = `acct/${rules.service}/${account}`;
+        const shares = byKey.get(key) ?? new Map<Types.Domain, Limits>();
+        divideOver(shares, toMicro(cell), row.domains);
+        byKey.set(key, shares);
+      }
+      const place = `${rules.service}/${row.region}`;
+      const link = divideLink(row, all);
+      byKey.set(`cap/${place}`, new Map(divideCap(row, all)));
+      byKey.set(`link/${place}/in`, new Map(link));
+      byKey.set(`link/${place}/out`, new Map(link));
+    }
+  }
+  return byKey;
+}
+
+/** Divides a table's limits. */
+export function createDivision(table: Types.Table): Division {
+  const byKey = divideTable(table);
+  const cache = new Map<string, readonly Limits[]>();
+
+  function getShards(domain: Types.Domain, key: Contracts.BudgetKey) {
+    const name = `${domain} ${key}`;
+    let shards = cache.get(name);
+    if (shards === undefined) {
+      shards = divideDomain(domain, key, byKey.get(key)?.get(domain));
+      cache.set(name, shards);
+    }
+    return shards;
+  }
+
+  return {
+    revision: table.revision,
+    keys: [...byKey.keys()],
+    getLimit(key) {
+      let rate = 0;
+      let burst = 0;
+      for (const share of byKey.get(key)?.values() ?? []) {
+        rate += share.rate;
+        burst += share.burst;
+      }
+      return fromMicro({ rate, burst });
+    },
+    getDomainShare: (domain, key) =>
+      fromMicro(byKey.get(key)?.get(domain) ?? NOTHING),
+    getShardShare: (domain, shard, key) =>
+      getShards(domain, key)[shard] ?? NOTHING,
+    getDeadlineMs(key) {
+      const service = key.split("/")[1] ?? "";
+      return table.services.get(service)?.deadlineMs ?? 0;
+    },
+  };
+}
+
+function divideDomain(
+  domain: Types.Domain,
+  key: Contracts.BudgetKey,
+  share: Limits = NOTHING,
+): readonly Limits[] {
+  const wanted = Math.floor(share.burst / MICRO);
+  const count = Math.max(1, Math.min(SHARDS_PER_DOMAIN, wanted));
+  const shards = new Array<Limits>(SHARDS_PER_DOMAIN).fill(NOTHING);
+  chooseShards(domain, key, count).forEach((shard, i) => {
+    shards[shard] = fromMicro(splitEqually(share, count, i));
+  });
+  return shards;
+}
--- /dev/null
+++ b/src/budget/loans.ts
@@ -0,0 +1,403 @@
+/**
+ * Taking tokens from the own buckets and from loans of peers.
+ *
+ * Promise: a token is spendable in one place at a time. The lender removes it
+ * and lowers its capacity for `LOAN_MS` from when it answers; the borrower
+ * spends it only within `LOAN_MS` from when it asked, which ends earlier. A
+ * lost or late message loses the token for that time. It breaks when one clock
+ * runs faster than another by more than `EXPIRY_MARGIN_MS` per loan.
+ */
+import { Ok, type Result } from "ts-results-es";
+import type * as Clock from "../clock.ts";
+import type * as Contracts from "../contracts.ts";
+import * as ResultCodes from "../result_codes.ts";
+import type * as Types from "../types.ts";
+import * as Holdings from "./holdings.ts";
+import type * as Lenders from "./lenders.ts";
+import * as Messages from "./messages.ts";
+
+/** Subtracted from a loan at the borrower for differences in clock speed. */
+const EXPIRY_MARGIN_MS = 20;
+/** Several times the round trip between regions (110 ms). */
+const BORROW_TIMEOUT_MS = 400;
+/** After this, other lenders are asked as well; above one round trip between regions. */
+const HEDGE_MS = 150;
+const BACKOFF_MIN_MS = 50;
+const BACKOFF_MAX_MS = 1_000;
+/** A steady flow borrows this much of its future need in one go; half a loan's life. */
+const PREFETCH_S = 1;
+/** What a lender keeps of its own recent demand. */
+const RESERVE_S = 0.5;
+/** Above this part of its rate in use, a lender keeps a whole token. */
+const BUSY_FRACTION = 0.5;
+
+/** What loans need of their surroundings. */
+export interface LoansDeps {
+  readonly peers: Contracts.PeerNet;
+  readonly clock: Clock.Clock;
+  readonly sleep: (ms: number) => Promise<void>;
+  readonly holdings: Holdings.Holdings;
+  readonly lenders: Lenders.Lenders;
+  readonly isValid: () => boolean;
+}
+
+/** Counts since start. */
+export interface LoanStats {
+  readonly asked: number;
+  readonly borrowedTokens: number;
+  readonly lentTokens: number;
+}
+
+/** Takes and loans; same calls as `Contracts.Budgets`. */
+export interface Loans {
+  tryTake(key: Contracts.BudgetKey, tokens: number): boolean;
+  take(
+    key: Contracts.BudgetKey,
+    tokens: number,
+    waitMs: number,
+  ): Promise<Result<void, ResultCodes.Failure>>;
+  giveBack(key: Contracts.BudgetKey, tokens: number, takenAtMs?: number): void;
+  /** Own and borrowed tokens at hand. */
+  getTokens(key: Contracts.BudgetKey): number;
+  getStats(): LoanStats;
+  /** Refuses everybody who waits. */
+  stop(): void;
+}
+
+type TakeResult = Result<void, ResultCodes.Failure>;
+
+interface Waiter {
+  readonly tokens: number;
+  readonly deadlineMs: number;
+  readonly resolve: (result: TakeResult) => void;
+}
+
+/** Waiters of one key and the state of borrowing for them. */
+interface Line {
+  readonly state: Holdings.KeyState;
+  waiters: Waiter[];
+  isBorrowing: boolean;
+  backoffMs: number;
+  borrowAfterMs: number;
+  wakeAtMs: number;
+}
+
+function refuse(key: Contracts.BudgetKey): TakeResult {
+  if (key.startsWith("cap/")) return ResultCodes.fail("regionCap", key);
+  if (key.startsWith("link/")) return ResultCodes.fail("linkCap", key);
+  return ResultCodes.fail("accountLimit", key);
+}
+
+/** Drops what expired and sums the rest. */
+function sumBorrowed(state: Holdings.KeyState, nowMs: number): number {
+  const { borrowed } = state;
+  if (borrowed.length === 0) return 0;
+  while (borrowed.length > 0 && borrowed[0]!.expiresAtMs <= nowMs) {
+    borrowed.shift();
+  }
+  let sum = 0;
+  for (const part of borrowed) sum += part.tokens;
+  return sum;
+}
+
+function spendBorrowed(state: Holdings.KeyState, tokens: number): void {
+  const { borrowed, spentBorrowed } = state;
+  let left = tokens;
+  while (left > 0 && borrowed.length > 0) {
+    const first = borrowed[0]!;
+    const part = Math.min(left, first.tokens);
+    spentBorrowed.push({ tokens: part, expiresAtMs: first.expiresAtMs });
+    first.tokens -= part;
+    left -= part;
+    if (first.tokens <= 0) borrowed.shift();
+  }
+  // Older ones have expired and can't be refunded; the bound is for memory.
+  if (spentBorrowed.length > 256) spentBorrowed.splice(0, 128);
+}
+
+function addBorrowed(
+  state: Holdings.KeyState,
+  tokens: number,
+  expiresAtMs: number,
+): void {
+  state.borrowed.push({ tokens, expiresAtMs });
+  state.borrowed.sort((a, b) => a.expiresAtMs - b.expiresAtMs);
+}
+
+/** Creates loans and handles `budget.borrow`. */
+export function createLoans(deps: LoansDeps): Loans {
+  const { clock, holdings, isValid, lenders, peers } = deps;
+  const lines = new Map<Contracts.BudgetKey, Line>();
+  let isStopped = false;
+  let asked = 0;
+  let borrowedTokens = 0;
+  let lentTokens = 0;
+
+  function spend(state: Holdings.KeyState, tokens: number): boolean {
+    const now = clock.nowMs();
+    const borrowed = Math.min(tokens, sumBorrowed(state, now));
+    const own = tokens - borrowed;
+    if (own > 0 && !state.bucket.tryTake(own, now)) return false;
+    if (borrowed > 0) spendBorrowed(state, borrowed);
+    return true;
+  }
+
+  function tryTake(key: Contracts.BudgetKey, tokens: number): boolean {
+    const state = holdings.tryGet(key);
+    if (state === undefined || !isValid()) return false;
+    // Those who wait come first, or a steady flow of newcomers starves them.
+    const line = lines.get(key);
+    if (line !== undefined && line.waiters.length > 0) return false;
+    if (!spend(state, tokens)) return false;
+    state.demand.count(tokens, clock.nowMs());
+    return true;
+  }
+
+  function getHeld(state: Holdings.KeyState): number {
+    const now = clock.nowMs();
+    return sumBorrowed(state, now) + state.bucket.getLevel(now);
+  }
+
+  function getOrCreateLine(state: Holdings.KeyState): Line {
+    const known = lines.get(state.key);
+    if (known !== undefined) return known;
+    const line: Line = {
+      state,
+      waiters: [],
+      isBorrowing: false,
+      backoffMs: 0,
+      borrowAfterMs: 0,
+      wakeAtMs: Infinity,
+    };
+    lines.set(state.key, line);
+    return line;
+  }
+
+  function take(
+    key: Contracts.BudgetKey,
+    tokens: number,
+    waitMs: number,
+  ): Promise<TakeResult> {
+    if (tryTake(key, tokens)) return Promise.resolve(Ok(undefined));
+    if (!isValid()) return Promise.resolve(ResultCodes.fail("notHolding"));
+    const state = holdings.tryGet(key);
+    if (state === undefined || isStopped) return Promise.resolve(refuse(key));
+    state.demand.count(tokens, clock.nowMs());
+    const line = getOrCreateLine(state);
+    return new Promise((resolve) => {
+      const deadlineMs = clock.nowMs() + waitMs;
+      line.waiters.push({ tokens, deadlineMs, resolve });
+      pump(line);
+    });
+  }
+
+  /** Serves in order of arrival, as far as the tokens go. */
+  function serve(line: Line): void {
+    while (line.waiters.length > 0 && isValid()) {
+      const first = line.waiters[0]!;
+      if (first.deadlineMs < clock.nowMs()) {
+        line.waiters.shift();
+        first.resolve(refuse(line.state.key));
+        continue;
+      }
+      if (!spend(line.state, first.tokens)) break;
+      line.waiters.shift();
+      line.backoffMs = 0;
+      first.resolve(Ok(undefined));
+    }
+  }
+
+  /** Monotonic ms at which own tokens cover all waiters up to and with `sum`. */
+  function getRefillAtMs(line: Line, sum: number): number {
+    const { rate } = line.state.bucket.getLimits();
+    const short = sum - getHeld(line.state);
+    if (short <= 0) return clock.nowMs();
+    return rate > 0 ? clock.nowMs() + (short / rate) * 1000 : Infinity;
+  }
+
+  /** Refuses at once who can't be served in time, so that nobody waits for nothing. */
+  function refuseHopeless(line: Line): void {
+    let sum = 0;
+    const kept: Waiter[] = [];
+    for (const waiter of line.waiters) {
+      const { deadlineMs, tokens, resolve } = waiter;
+      const mayBorrow = line.isBorrowing || line.borrowAfterMs <= deadlineMs;
+      const isInTime = deadlineMs > clock.nowMs() &&
+        (mayBorrow || getRefillAtMs(line, sum + tokens) <= deadlineMs);
+      if (isInTime) {
+        sum += tokens;
+        kept.push(waiter);
+      } else {
+        resolve(refuse(line.state.key));
+      }
+    }
+    line.waiters = kept;
+  }
+
+  function pump(line: Line): void {
+    serve(line);
+    if (line.waiters.length === 0) return;
+    if (!line.isBorrowing && line.borrowAfterMs <= clock.nowMs()) {
+      void borrow(line);
+    }
+    refuseHopeless(line);
+    scheduleWake(line);
+  }
+
+  function scheduleWake(line: Line): void {
+    const first = line.waiters[0];
+    if (first === undefined) return;
+    let atMs = Math.min(first.deadlineMs, getRefillAtMs(line, first.tokens));
+    if (!line.isBorrowing) atMs = Math.min(atMs, line.borrowAfterMs);
+    // Timers are coarse; a sooner wake-up that is already set is enough.
+    atMs = Math.max(atMs, clock.nowMs() + 1);
+    if (atMs >= line.wakeAtMs) return;
+    line.wakeAtMs = atMs;
+    void deps.sleep(Math.ceil(atMs - clock.nowMs())).then(() => {
+      if (line.wakeAtMs !== atMs) return;
+      line.wakeAtMs = Infinity;
+      pump(line);
+    });
+  }
+
+  function getMissing(line: Line): number {
+    let sum = 0;
+    for (const waiter of line.waiters) sum += waiter.tokens;
+    return sum - getHeld(line.state);
+  }
+
+  function getPrefetch(line: Line): number {
+    const { bucket, demand } = line.state;
+    const rate = demand.getRate(clock.nowMs());
+    const short = rate - bucket.getLimits().rate;
+    return Math.max(0, short * PREFETCH_S);
+  }
+
+  async function borrow(line: Line): Promise<void> {
+    line.isBorrowing = true;
+    const done = new Set<Types.InstanceId>();
+    const pending = new Set<Promise<void>>();
+    while (getMissing(line) > 0 && !isStopped) {
+      const first = line.waiters[0]!.tokens - getHeld(line.state);
+      const want = getMissing(line) + getPrefetch(line);
+      const wave = lenders.choose(line.state.key, first, want, done);
+      for (const ask of wave) {
+        done.add(ask.id);
+        const call = askLender(line, ask).then(() => {
+          pending.delete(call);
+        });
+        pending.add(call);
+      }
+      if (pending.size === 0) break;
+      const all = Promise.all(pending);
+      // Without anybody else to ask, only the answers can help.
+      await (wave.length === 0
+        ? all
+        : Promise.race([all, deps.sleep(HEDGE_MS)]));
+    }
+    finishBorrow(line);
+  }
+
+  function finishBorrow(line: Line): void {
+    line.isBorrowing = false;
+    if (line.waiters.length === 0) return;
+    const next = Math.max(BACKOFF_MIN_MS, line.backoffMs * 2);
+    line.backoffMs = Math.min(next, BACKOFF_MAX_MS);
+    // Jitter keeps instances that ran dry together from asking together.
+    const jitter = 0.5 + Math.random() / 2;
+    line.borrowAfterMs = clock.nowMs() + line.backoffMs * jitter;
+    pump(line);
+  }
+
+  async function askLender(line: Line, ask: Lenders.Ask): Promise<void> {
+    const { key } = line.state;
+    const params: Messages.BorrowRequest = { key, want: ask.want };
+    const sentAtMs = clock.nowMs();
+    asked++;
+    const method = Messages.METHODS.borrow;
+    const result = await peers.call(ask.id, method, params, BORROW_TIMEOUT_MS);
+    if (result.isErr()) return lenders.noteSilence(ask.id);
+    const answer = Messages.tryReadBorrowAnswer(result.value);
+    if (answer === undefined) return lenders.noteSilence(ask.id);
+    lenders.noteAnswer(key, ask.id, answer.left);
+    if (answer.granted <= 0) return;
+    borrowedTokens += answer.granted;
+    const expiresAtMs = sentAtMs + Holdings.LOAN_MS - EXPIRY_MARGIN_MS;
+    addBorrowed(line.state, answer.granted, expiresAtMs);
+    serve(line);
+  }
+
+  function lend(req: Messages.BorrowRequest): Messages.BorrowAnswer {
+    const state = holdings.tryGet(req.key);
+    if (state === undefined || !isValid()) return { granted: 0, left: 0 };
+    const now = clock.nowMs();
+    const waiting = lines.get(req.key)?.waiters.length ?? 0;
+    const free = state.bucket.getLevel(now) - getReserve(state, now);
+    if (waiting > 0 || free <= 0) return { granted: 0, left: 0 };
+    const granted = Math.min(free, req.want);
+    if (!state.bucket.tryLend(granted, now + Holdings.LOAN_MS, now)) {
+      return { granted: 0, left: 0 };
+    }
+    lentTokens += granted;
+    return { granted, left: free - granted };
+  }
+
+  /** What the own callers will probably need before the bucket refills. */
+  function getReserve(state: Holdings.KeyState, nowMs: number): number {
+    const demand = state.demand.getRate(nowMs);
+    const isBusy = demand >= BUSY_FRACTION * state.bucket.getLimits().rate &&
+      demand > 0;
+    return Math.max(isBusy ? 1 : 0, demand * RESERVE_S);
+  }
+
+  function giveBack(
+    key: Contracts.BudgetKey,
+    tokens: number,
+    takenAtMs?: number,
+  ): void {
+    const state = holdings.tryGet(key);
+    if (state === undefined || !isValid()) return;
+    const now = clock.nowMs();
+    let left = tokens;
+    // Borrowed tokens go back only to their loan, and only when it is certain
+    // that they were the ones taken; otherwise they count as lost.
+    const isCertain = !state.bucket.hasRecentTakes(now);
+    while (left > 0 && state.spentBorrowed.length > 0) {
+      const spent = state.spentBorrowed[state.spentBorrowed.length - 1]!;
+      const part = Math.min(left, spent.tokens);
+      if (isCertain && spent.expiresAtMs > now) {
+        addBorrowed(state, part, spent.expiresAtMs);
+      }
+      spent.tokens -= part;
+      left -= part;
+      if (spent.tokens <= 0) state.spentBorrowed.pop();
+    }
+    if (left > 0) state.bucket.giveBack(left, now, takenAtMs);
+    const line = lines.get(key);
+    if (line !== undefined) pump(line);
+  }
+
+  peers.handle(Messages.METHODS.borrow, (params) => {
+    const req = Messages.tryReadBorrow(params);
+    if (req === undefined) throw new Error("malformed budget.borrow");
+    return lend(req);
+  });
+
+  return {
+    tryTake,
+    take,
+    giveBack,
+    getTokens(key) {
+      const state = holdings.tryGet(key);
+      return state === undefined ? 0 : getHeld(state);
+    },
+    getStats: () => ({ asked, borrowedTokens, lentTokens }),
+    stop() {
+      isStopped = true;
+      for (const line of lines.values()) {
+        for (const { resolve } of line.waiters) resolve(refuse(line.state.key));
+        line.waiters = [];
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/budget/messages.ts
@@ -0,0 +1,166 @@
+/**
+ * Messages and store records of the budgets, and their readers. A reader gives
+ * undefined for anything malformed, so that a broken message changes nothing.
+ */
+import type * as Contracts from "../contracts.ts";
+import type * as Types from "../types.ts";
+import type * as Holdings from "./holdings.ts";
+
+/** Method names on the peer network. */
+export const METHODS = {
+  relay: "lease.relay",
+  confirm: "shards.confirm",
+  handOver: "shards.handover",
+  borrow: "budget.borrow",
+} as const;
+
+/** Store record `members/<instance>`, attached to the instance's lease. */
+export interface MemberRecord {
+  readonly incarnation: string;
+  readonly domain: Types.Domain;
+  readonly writeId: string;
+}
+
+/** Store record `shards/<domain>/<n>`; owner "" means released. */
+export interface ShardRecord {
+  readonly owner: Types.InstanceId;
+  readonly incarnation: string;
+  /** Grows by one with each change of holder or confirmation. */
+  readonly epoch: number;
+  readonly writeId: string;
+}
+
+/** `lease.relay`: renew this lease for me. */
+export interface RelayRequest {
+  readonly leaseId: string;
+}
+
+/** What became of a relayed renewal. */
+export interface RelayAnswer {
+  readonly kind: "renewed" | "lapsed" | "unreachable";
+}
+
+/** `shards.confirm`: which of these shards of the domain do you hold? */
+export interface ConfirmRequest {
+  readonly domain: Types.Domain;
+  readonly shards: readonly number[];
+}
+
+/** The shards of the request that the answering instance holds. */
+export interface ConfirmAnswer {
+  readonly held: readonly number[];
+}
+
+/** `shards.handover`: the store names you as holder; here is the content. */
+export interface HandOverRequest {
+  readonly domain: Types.Domain;
+  readonly shard: number;
+  /** Incarnation of the receiver that the record names. */
+  readonly incarnation: string;
+  readonly epoch: number;
+  readonly version: number;
+  readonly tableRevision: number;
+  readonly levels: Holdings.ShardLevels;
+}
+
+/** `budget.borrow`: up to `want` tokens, at least any useful part. */
+export interface BorrowRequest {
+  readonly key: Contracts.BudgetKey;
+  readonly want: number;
+}
+
+/** Tokens lent, and what could be lent beyond them. */
+export interface BorrowAnswer {
+  readonly granted: number;
+  readonly left: number;
+}
+
+type Raw = Readonly<Record<string, unknown>>;
+
+function asRaw(value: unknown): Raw | undefined {
+  return typeof value === "object" && value !== null
+    ? (value as Raw)
+    : undefined;
+}
+
+function isAmount(value: unknown): value is number {
+  return typeof value === "number" && Number.isFinite(value) && value >= 0;
+}
+
+function isShardList(value: unknown): value is readonly number[] {
+  return Array.isArray(value) && value.every((n) => Number.isInteger(n));
+}
+
+function tryParseJson(text: string): Raw | undefined {
+  try {
+    return asRaw(JSON.parse(text));
+  } catch {
+    return undefined;
+  }
+}
+
+export function tryReadMember(text: string): MemberRecord | undefined {
+  const raw = tryParseJson(text);
+  const isGood = typeof raw?.incarnation === "string" &&
+    typeof raw.domain === "string";
+  return isGood ? (raw as unknown as MemberRecord) : undefined;
+}
+
+export function tryReadShard(text: string): ShardRecord | undefined {
+  const raw = tryParseJson(text);
+  const isGood = typeof raw?.owner === "string" &&
+    typeof raw.incarnation === "string" && isAmount(raw.epoch);
+  return isGood ? (raw as unknown as ShardRecord) : undefined;
+}
+
+export function tryReadRelay(params: unknown): RelayRequest | undefined {
+  const raw = asRaw(params);
+  return typeof raw?.leaseId === "string"
+    ? (raw as unknown as RelayRequest)
+    : undefined;
+}
+
+export function tryReadConfirm(params: unknown): ConfirmRequest | undefined {
+  const raw = asRaw(params);
+  const isGood = typeof raw?.domain === "string" && isShardList(raw.shards);
+  return isGood ? (raw as unknown as ConfirmRequest) : undefined;
+}
+
+export function tryReadConfirmAnswer(
+  result: unknown,
+): ConfirmAnswer | undefined {
+  const raw = asRaw(result);
+  return isShardList(raw?.held) ? (raw as unknown as ConfirmAnswer) : undefined;
+}
+
+export function tryReadHandOver(params: unknown): HandOverRequest | undefined {
+  const raw = asRaw(params);
+  const isGood = typeof raw?.domain === "string" && isAmount(raw.shard) &&
+    typeof raw.incarnation === "string" && isAmount(raw.epoch) &&
+    isAmount(raw.version) && isAmount(raw.tableRevision) &&
+    areLevels(raw.levels);
+  return isGood ? (raw as unknown as HandOverRequest) : undefined;
+}
+
+function areLevels(value: unknown): boolean {
+  const raw = asRaw(value);
+  return raw !== undefined && Object.values(raw).every((item) => {
+    const part = asRaw(item);
+    return isAmount(part?.level) && isAmount(part.lent) &&
+      isAmount(part.lentMs);
+  });
+}
+
+export function tryReadBorrow(params: unknown): BorrowRequest | undefined {
+  const raw = asRaw(params);
+  return typeof raw?.key === "string" && isAmount(raw.want)
+    ? (raw as unknown as BorrowRequest)
+    : undefined;
+}
+
+export function tryReadBorrowAnswer(result: unknown): BorrowAnswer | undefined {
+  const raw = asRaw(result);
+  return isAmount(raw?.granted) && isAmount(raw.left)
+    ? (raw as unknown as BorrowAnswer)
+    : undefined;
+}
--- /dev/null
+++ b/src/budget/ownership.ts
@@ -0,0 +1,376 @@
+/**
+ * Which shards of the own domain this instance holds.
+ *
+ * Promise: at any moment at most one instance spends a shard, and content that
+ * moves between holders is lost rather than doubled when a message is. Each
+ * change of holder is one compare-and-swap on `shards/<domain>/<n>`; the giver
+ * stops spending before it, the receiver starts after it, and a receiver
+ * without the giver's message starts empty. It breaks when the lease's promise
+ * does.
+ */
+import type * as Clock from "../clock.ts";
+import type * as Contracts from "../contracts.ts";
+import type * as Log from "../log.ts";
+import type * as Types from "../types.ts";
+import * as Division from "./division.ts";
+import type * as Holdings from "./holdings.ts";
+import * as Messages from "./messages.ts";
+import * as Plan from "./shard_plan.ts";
+import type * as StoreHealth from "./store_health.ts";
+
+/** Wait for a giver's message before a shard is adopted without its content. */
+const HANDOVER_WAIT_MS = 2_000;
+/** Unclaimed for this long, a shard is claimed beyond the quota: the others may be stuck. */
+const UNCLAIMED_WAIT_MS = 5_000;
+const CALL_TIMEOUT_MS = 1_000;
+
+/** What ownership needs of its surroundings. */
+export interface OwnershipDeps {
+  readonly self: Types.InstanceId;
+  readonly incarnation: string;
+  readonly domain: Types.Domain;
+  readonly platform: Contracts.PlatformClient;
+  readonly health: StoreHealth.StoreHealth;
+  readonly peers: Contracts.PeerNet;
+  readonly clock: Clock.Clock;
+  readonly log: Log.Logger;
+  readonly holdings: Holdings.Holdings;
+  readonly leaseTtlMs: number;
+  readonly isLeaseValid: () => boolean;
+}
+
+/** The shards of this instance. */
+export interface Ownership {
+  /** One pass over the store's records: claims, take-overs, balancing. */
+  sync(): Promise<void>;
+  /** After a lapse: confirms each held shard by compare-and-swap, drops lost ones; false when the store failed. */
+  reconfirm(): Promise<boolean>;
+  /** Stops spending shards that another instance holds. */
+  dropShards(shards: readonly number[]): void;
+  /** Hands every shard to a domain peer, or releases it; no claims afterwards. */
+  handOverAll(): Promise<void>;
+  /** Instances of the domain registered at the last pass. */
+  getStorePeers(): readonly Types.InstanceId[];
+  /** True when the last pass saw a shard to claim or to hand over. */
+  isBusy(): boolean;
+}
+
+/** Creates ownership without shards and handles `shards.confirm` and `shards.handover`. */
+export function createOwnership(deps: OwnershipDeps): Ownership {
+  const { clock, domain, health, holdings, log, peers, platform } = deps;
+  const self = { id: deps.self, incarnation: deps.incarnation };
+  /** Highest version and epoch seen or written, by shard. */
+  const known = new Map<number, { version: number; epoch: number }>();
+  /** Epoch at which this instance last started to spend a shard. */
+  const startedEpoch = new Map<number, number>();
+  const waitingSince = new Map<number, number>();
+  let members: Plan.MemberMap = new Map();
+  let isLeaving = false;
+  let wasBusy = true;
+  let writes = 0;
+
+  function note(shard: number, version: number, epoch: number): void {
+    const old = known.get(shard);
+    if (old !== undefined && old.version >= version) return;
+    known.set(shard, { version, epoch });
+  }
+
+  async function write(
+    shard: number,
+    version: number,
+    epoch: number,
+    owner: { readonly id: Types.InstanceId; readonly incarnation: string },
+  ): Promise<number | undefined> {
+    const writeId = `${deps.incarnation}-shard-${++writes}`;
+    const record: Messages.ShardRecord = {
+      owner: owner.id,
+      incarnation: owner.incarnation,
+      epoch,
+      writeId,
+    };
+    const key = `shards/${domain}/${shard}`;
+    const text = JSON.stringify(record);
+    const result = await health.track(
+      platform.cas(key, version, text, { writeId }),
+    );
+    if (result.isErr()) return undefined;
+    note(shard, result.value, epoch);
+    return result.value;
+  }
+
+  function start(shard: number, epoch: number, how: Holdings.ShardStart) {
+    waitingSince.delete(shard);
+    startedEpoch.set(shard, epoch);
+    if (holdings.isActive(shard)) return;
+    holdings.activate(shard, how);
+    log.info("shard-held", { domain, shard, epoch, start: how.kind });
+  }
+
+  function stop(shard: number, reason: string): Holdings.ShardLevels {
+    log.info("shard-given-up", { domain, shard, reason });
+    return holdings.deactivate(shard);
+  }
+
+  async function listShards(): Promise<
+    ReadonlyMap<number, Plan.ShardEntry> | undefined
+  > {
+    const prefix = `shards/${domain}/`;
+    const listed = await health.track(platform.list(prefix));
+    if (listed.isErr()) return undefined;
+    const entries = new Map<number, Plan.ShardEntry>();
+    for (const { key, value, version } of listed.value) {
+      const shard = Number(key.slice(prefix.length));
+      const record = Messages.tryReadShard(value);
+      // A list read before a write of this instance is out of date.
+      const isOld = version < (known.get(shard)?.version ?? 0);
+      if (record === undefined || isOld) continue;
+      entries.set(shard, { record, version });
+      note(shard, version, record.epoch);
+    }
+    return entries;
+  }
+
+  async function listMembers(): Promise<boolean> {
+    const listed = await health.track(platform.list("members/"));
+    if (listed.isErr()) return false;
+    const found = new Map<Types.InstanceId, string>();
+    for (const { key, value } of listed.value) {
+      const record = Messages.tryReadMember(value);
+      if (record?.domain !== domain) continue;
+      found.set(key.slice("members/".length), record.incarnation);
+    }
+    members = found;
+    return true;
+  }
+
+  async function sync(): Promise<void> {
+    wasBusy = true;
+    if (!deps.isLeaseValid()) return;
+    const entries = await listShards();
+    if (entries === undefined || !(await listMembers())) return;
+    wasBusy = false;
+    for (let shard = 0; shard < Division.SHARDS_PER_DOMAIN; shard++) {
+      const entry = entries.get(shard);
+      // Known but not listed: the list was out of date for this shard.
+      if (entry === undefined && known.has(shard)) continue;
+      await syncShard(shard, entry);
+    }
+    await balance(entries);
+  }
+
+  async function syncShard(
+    shard: number,
+    entry: Plan.ShardEntry | undefined,
+  ): Promise<void> {
+    const isActive = holdings.isActive(shard);
+    const step = Plan.planShard(entry, self, isActive, members);
+    if (step.kind === "lost") return void stop(shard, "other-holder");
+    if (step.kind === "none" || isLeaving) {
+      waitingSince.delete(shard);
+      return;
+    }
+    wasBusy = true;
+    const since = waitingSince.get(shard) ?? clock.nowMs();
+    waitingSince.set(shard, since);
+    const waitedMs = clock.nowMs() - since;
+    if (step.kind === "adopt") {
+      if (waitedMs < HANDOVER_WAIT_MS) return;
+    } else if (!isWithinQuota() && waitedMs < UNCLAIMED_WAIT_MS) {
+      return;
+    }
+    await claim(shard, entry, step);
+  }
+
+  function isWithinQuota(): boolean {
+    return holdings.getShards().length < Plan.getQuota(members.size);
+  }
+
+  /** Claims need a settled table: an older one elsewhere may still give the share to others. */
+  function mayClaim(kind: Plan.ShardStep["kind"]): boolean {
+    if (holdings.tryGetDivision() === undefined) return false;
+    const isFirstTable = !holdings.hasChangedTable();
+    if (kind === "claim-new") return isFirstTable || holdings.isSettled();
+    return holdings.isSettled() &&
+      (kind === "claim-released" || hasReachedStoreLongEnough());
+  }
+
+  function hasReachedStoreLongEnough(): boolean {
+    return health.getReachableForMs() >= deps.leaseTtlMs;
+  }
+
+  async function claim(
+    shard: number,
+    entry: Plan.ShardEntry | undefined,
+    step: Plan.ShardStep,
+  ): Promise<void> {
+    if (!mayClaim(step.kind)) return;
+    if (step.kind === "take-over" && (await isClaimedBy(step.from, shard))) {
+      return;
+    }
+    const failures = health.getFailures();
+    const epoch = (entry?.record.epoch ?? 0) + 1;
+    const version = await write(shard, entry?.version ?? 0, epoch, self);
+    if (version === undefined) return;
+    // A failure since lets a disconnected holder count on another full wait;
+    // the record is then adopted by a later pass.
+    if (health.getFailures() !== failures || !deps.isLeaseValid()) return;
+    start(shard, epoch, {
+      kind: step.kind === "claim-new" ? "full" : "empty",
+    });
+  }
+
+  async function isClaimedBy(
+    owner: Types.InstanceId,
+    shard: number,
+  ): Promise<boolean> {
+    if (owner === deps.self) return false;
+    const params: Messages.ConfirmRequest = { domain, shards: [shard] };
+    const result = await peers.call(
+      owner,
+      Messages.METHODS.confirm,
+      params,
+      CALL_TIMEOUT_MS,
+    );
+    const answer = result.isOk() &&
+      Messages.tryReadConfirmAnswer(result.value);
+    return answer ? answer.held.includes(shard) : false;
+  }
+
+  /** Domain peers that can receive a shard: registered, live and with the same table. */
+  function getReceivers(): readonly Types.InstanceId[] {
+    const revision = holdings.tryGetDivision()?.revision;
+    return [...members].filter(([id, incarnation]) => {
+      const member = id === deps.self ? undefined : peers.tryGetMember(id);
+      return member !== undefined && member.isReachable &&
+        member.heartbeat.state === "live" &&
+        member.heartbeat.incarnation === incarnation &&
+        member.heartbeat.tableRevision === revision;
+    }).map(([id]) => id);
+  }
+
+  async function balance(
+    entries: ReadonlyMap<number, Plan.ShardEntry>,
+  ): Promise<void> {
+    if (isLeaving || !holdings.isSettled()) return;
+    const counts = Plan.countShards(entries.values(), members);
+    const receiver = Plan.planBalance(counts, deps.self, getReceivers());
+    const shard = holdings.getShards()[0];
+    if (receiver === undefined || shard === undefined) return;
+    wasBusy = true;
+    await handOver(shard, receiver);
+  }
+
+  async function handOver(
+    shard: number,
+    to: Types.InstanceId,
+  ): Promise<void> {
+    const incarnation = members.get(to);
+    const old = known.get(shard);
+    const tableRevision = holdings.tryGetDivision()?.revision;
+    if (!incarnation || !old || tableRevision === undefined) return;
+    const levels = stop(shard, "handover");
+    const epoch = old.epoch + 1;
+    const owner = { id: to, incarnation };
+    const version = await write(shard, old.version, epoch, owner);
+    if (version === undefined) return;
+    const params: Messages.HandOverRequest = {
+      domain,
+      shard,
+      incarnation,
+      epoch,
+      version,
+      tableRevision,
+      levels,
+    };
+    const method = Messages.METHODS.handOver;
+    const sent = await peers.call(to, method, params, CALL_TIMEOUT_MS);
+    if (sent.isErr()) log.warn("handover-content-lost", { shard, to });
+  }
+
+  function receive(req: Messages.HandOverRequest): boolean {
+    const { shard, epoch } = req;
+    const revision = holdings.tryGetDivision()?.revision;
+    const isForThis = req.domain === domain &&
+      req.incarnation === deps.incarnation && req.tableRevision === revision;
+    // A late or doubled message must not refill a shard that moved on.
+    const isNew = epoch > (startedEpoch.get(shard) ?? 0) &&
+      epoch >= (known.get(shard)?.epoch ?? 0);
+    const mayStart = isForThis && isNew && !holdings.isActive(shard) &&
+      deps.isLeaseValid() && holdings.isSettled() && !isLeaving;
+    if (!mayStart) return false;
+    note(shard, req.version, epoch);
+    start(shard, epoch, { kind: "levels", levels: req.levels });
+    return true;
+  }
+
+  async function reconfirm(): Promise<boolean> {
+    const entries = await listShards();
+    if (entries === undefined) return false;
+    for (const shard of holdings.getShards()) {
+      const entry = entries.get(shard);
+      const record = entry?.record;
+      const isNamed = record?.owner === self.id &&
+        record.incarnation === self.incarnation &&
+        record.epoch === startedEpoch.get(shard);
+      if (entry === undefined || !isNamed) {
+        stop(shard, "lost-while-lapsed");
+        continue;
+      }
+      // The write makes a take-over decided before it fail.
+      const failures = health.getFailures();
+      const epoch = entry.record.epoch + 1;
+      const version = await write(shard, entry.version, epoch, self);
+      if (version !== undefined) startedEpoch.set(shard, epoch);
+      else if (health.getFailures() !== failures) return false;
+      else stop(shard, "lost-while-lapsed");
+    }
+    return true;
+  }
+
+  async function handOverAll(): Promise<void> {
+    isLeaving = true;
+    const entries = await listShards();
+    await listMembers();
+    const counts = new Map(Plan.countShards(entries?.values() ?? [], members));
+    for (const shard of holdings.getShards()) {
+      const receiver = Plan.chooseReceiver(counts, getReceivers());
+      if (receiver !== undefined) {
+        counts.set(receiver, (counts.get(receiver) ?? 0) + 1);
+        await handOver(shard, receiver);
+        continue;
+      }
+      stop(shard, "release");
+      const old = known.get(shard);
+      const nobody = { id: "", incarnation: "" };
+      if (old) await write(shard, old.version, old.epoch + 1, nobody);
+    }
+  }
+
+  peers.handle(
+    Messages.METHODS.confirm,
+    (params): Messages.ConfirmAnswer => {
+      const req = Messages.tryReadConfirm(params);
+      if (req === undefined) throw new Error("malformed shards.confirm");
+      const isSame = req.domain === domain;
+      return { held: req.shards.filter((n) => isSame && holdings.isActive(n)) };
+    },
+  );
+  peers.handle(Messages.METHODS.handOver, (params) => {
+    const req = Messages.tryReadHandOver(params);
+    if (req === undefined) throw new Error("malformed shards.handover");
+    const isTaken = receive(req);
+    if (!isTaken) log.warn("handover-refused", { shard: req.shard });
+    return { isTaken };
+  });
+
+  return {
+    sync,
+    reconfirm,
+    dropShards(shards) {
+      for (const shard of shards) stop(shard, "held-by-peer");
+    },
+    handOverAll,
+    getStorePeers: () => [...members.keys()],
+    isBusy: () => wasBusy,
+  };
+}
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -33,7 +33,12 @@
     readonly seeds: readonly Types.Address[];
     readonly secret: string;
   };
-  readonly lease: { readonly ttlMs: number; readonly renewMs: number };
+  readonly lease: {
+    readonly ttlMs: number;
+    readonly renewMs: number;
+    /** With the store down: what an unreachable domain peer that may reach it does to the holding. */
+    readonly onSilentPeer: "suspend" | "keep";
+  };
   readonly keys: {
     readonly stalenessLimitMs: number;
     readonly whenIsolated: "refuse" | "serve";
@@ -78,6 +83,11 @@
   const lease = {
     ttlMs: r.integer("lease.ttl_ms", 2_000, 120_000, 10_000),
     renewMs: r.integer("lease.renew_ms", 200, 60_000, 3_000),
+    onSilentPeer: r.choice(
+      "lease.on_silent_peer",
+      ["suspend", "keep"],
+      "suspend",
+    ),
   };
   r.require(
     "lease.renew_ms",
@@ -109,7 +119,8 @@
       stalenessLimitMs: r.integer(
         "keys.staleness_limit_ms",
         500,
-        3_600_000,
+        // Plus 500 ms until a grown share applies, within the 6 s of promise 12.
+        5_000,
         4_000,
       ),
       whenIsolated: r.choice(
