--- /dev/null
+++ b/src/targets/prober.ts
@@ -0,0 +1,204 @@
+/**
+ * Active health checks: `GET /healthz` and `GET /load` of every target, with
+ * jitter. Promise: a probe ends within its time-outs, at most one per target
+ * runs, and the cost for instance and targets stays bounded however many there
+ * are of either.
+ */
+import * as Undici from "undici";
+import * as Clock from "../clock.ts";
+import type * as Entry from "./entry.ts";
+import type * as Health from "./health.ts";
+import type * as Pool from "./pool.ts";
+
+const TICK_MS = 50;
+const PROBE_INTERVAL_MS = 1_000;
+const JITTER = 0.2;
+/** Over a round trip between regions (110 ms), under the 3 s bound for leaving targets. */
+const CONNECT_TIMEOUT_MS = 500;
+const CALL_TIMEOUT_MS = 700;
+const MAX_BODY_BYTES = 16 * 1024;
+const IDLE_CONNECTION_MS = 5_000;
+/** Bound for this instance; a probe is two calls. */
+const MAX_PROBES_PER_S = 100;
+/** A call costs a target about 6 ms. */
+const PROBE_COST_MS = 12;
+/** Share of one slot's time that the probes of all instances without own slots may cost. */
+const PROBE_COST_SHARE = 0.15;
+
+/** Sends probes until it is stopped. */
+export interface Prober {
+  /** Runs until `signal` aborts. */
+  run(signal: AbortSignal): Promise<void>;
+}
+
+/**
+ * Time between two probes of a target in ms. Owners of its slots probe at the
+ * full rate; there are at most as many as slots. The others share a budget.
+ */
+export function getProbeIntervalMs(
+  targets: number,
+  instances: number,
+  isOwner: boolean,
+): number {
+  const forSelfMs = targets * 1_000 / MAX_PROBES_PER_S;
+  const forTargetMs = isOwner ? 0 : instances * PROBE_COST_MS /
+    PROBE_COST_SHARE;
+  return Math.max(PROBE_INTERVAL_MS, forSelfMs, forTargetMs);
+}
+
+interface CallResult {
+  readonly reach: Health.ProbeReach;
+  readonly isLeaving: boolean;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+const UNREACHABLE_CODES: ReadonlySet<unknown> = new Set([
+  "UND_ERR_CONNECT_TIMEOUT",
+  "ETIMEDOUT",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EHOSTDOWN",
+]);
+
+function classifyError(err: unknown): Health.ProbeReach {
+  const { code } = err as { code?: unknown };
+  if (code === "ECONNREFUSED") return "refused";
+  return UNREACHABLE_CODES.has(code) ? "unreachable" : "failed";
+}
+
+function parseBody(text: string): Readonly<Record<string, unknown>> {
+  try {
+    const value: unknown = JSON.parse(text);
+    const isObject = typeof value === "object" && value !== null;
+    return isObject ? value as Record<string, unknown> : {};
+  } catch {
+    // A health endpoint may answer plain text.
+    return {};
+  }
+}
+
+async function call(
+  dispatcher: Undici.Dispatcher,
+  url: string,
+  signal: AbortSignal,
+): Promise<CallResult> {
+  const timeout = AbortSignal.timeout(CALL_TIMEOUT_MS);
+  try {
+    const res = await Undici.request(url, {
+      dispatcher,
+      signal: AbortSignal.any([signal, timeout]),
+    });
+    const body = parseBody(await res.body.text());
+    const isMarked = res.headers["target-state"] === "leaving";
+    const isLeaving = isMarked || body["state"] === "leaving";
+    const reach = res.statusCode === 200 ? "ok" : "failed";
+    return { reach, isLeaving, body };
+  } catch (err) {
+    return { reach: classifyError(err), isLeaving: false, body: {} };
+  }
+}
+
+function parseLoad(
+  result: CallResult,
+  slots: number,
+): { readonly inUse: number; readonly slots: number } | undefined {
+  if (result.reach !== "ok") return undefined;
+  const inUse = Number(result.body["inUse"]);
+  if (!Number.isFinite(inUse) || inUse < 0) return undefined;
+  const reported = Number(result.body["slots"]);
+  const isSane = Number.isInteger(reported) && reported > 0;
+  // The list bounds what a wrong report may open.
+  return { inUse, slots: isSane ? Math.min(reported, slots) : slots };
+}
+
+/** Probes one target. */
+export async function probe(
+  dispatcher: Undici.Dispatcher,
+  entry: Entry.Entry,
+  startedAtMs: number,
+  signal: AbortSignal,
+): Promise<Health.ProbeResult> {
+  const base = `http://${entry.info.address}`;
+  const health = await call(dispatcher, `${base}/healthz`, signal);
+  if (health.reach === "refused" || health.reach === "unreachable") {
+    const { reach } = health;
+    return { reach, startedAtMs, isLeaving: false, load: undefined };
+  }
+  const load = await call(dispatcher, `${base}/load`, signal);
+  return {
+    reach: health.reach,
+    startedAtMs,
+    isLeaving: health.isLeaving || load.isLeaving,
+    load: parseLoad(load, entry.info.slots),
+  };
+}
+
+/** Creates the prober of a pool's targets. */
+export function createProber(pool: Pool.Pool, clock: Clock.Clock): Prober {
+  /** Targets for which another probe was wanted while one was running. */
+  const again = new Set<Entry.Entry>();
+
+  function scheduleNext(entry: Entry.Entry): void {
+    const { targets, instances } = pool.getCounts();
+    const isOwner = pool.isOwner(entry);
+    const intervalMs = getProbeIntervalMs(targets, instances, isOwner);
+    const jitter = 1 + JITTER * (2 * Math.random() - 1);
+    entry.nextProbeAtMs = clock.nowMs() + intervalMs * jitter;
+  }
+
+  async function start(
+    dispatcher: Undici.Dispatcher,
+    entry: Entry.Entry,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (entry.isProbing) return void again.add(entry);
+    entry.isProbing = true;
+    again.delete(entry);
+    scheduleNext(entry);
+    const result = await probe(dispatcher, entry, clock.nowMs(), signal);
+    entry.isProbing = false;
+    if (signal.aborted) return;
+    pool.takeProbe(entry, result);
+    if (again.has(entry)) await start(dispatcher, entry, signal);
+  }
+
+  /** A dropped target is probed only while its drop is doubted. */
+  function isDue(entry: Entry.Entry, now: number): boolean {
+    if (entry.isProbing || now < entry.nextProbeAtMs) return false;
+    return entry.isListed || entry.heldUntilMs !== undefined;
+  }
+
+  async function repeat(
+    dispatcher: Undici.Dispatcher,
+    signal: AbortSignal,
+  ): Promise<void> {
+    while (!signal.aborted) {
+      pool.tick();
+      const now = clock.nowMs();
+      for (const entry of pool.getEntries()) {
+        if (isDue(entry, now)) void start(dispatcher, entry, signal);
+      }
+      await Clock.sleep(TICK_MS, signal);
+    }
+  }
+
+  async function run(signal: AbortSignal): Promise<void> {
+    const dispatcher = new Undici.Agent({
+      connections: 1,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      maxResponseSize: MAX_BODY_BYTES,
+    });
+    pool.setProbeWanted((entry) => {
+      if (!signal.aborted) void start(dispatcher, entry, signal);
+    });
+    try {
+      await repeat(dispatcher, signal);
+    } finally {
+      await dispatcher.destroy();
+    }
+  }
+
+  return { run };
+}
