Add metrics and the burn report

Cause: operators need to see the worst-served account and refusals within an account's rate, over all instances, without a metrics system.

The burst counts as far as earlier windows left it; with a full burst in each window, an account that stays over its rate would show one burst of wrongful refusals in every window.

--- /dev/null
+++ b/src/burn/text.ts
@@ -0,0 +1,133 @@
+/** Writes the burn report as text and as JSON. */
+import type * as Report from "./report.ts";
+
+/** Wall-clock time to seconds, in UTC. */
+export function formatTime(wallMs: number): string {
+  return new Date(wallMs).toISOString().replace(/\.\d+Z$/, "Z");
+}
+
+/** A burn rate; `-` when nothing was counted. */
+export function formatRate(rate: number | undefined): string {
+  if (rate === undefined) return "-";
+  return rate >= 100 ? rate.toFixed(0) : rate.toFixed(1);
+}
+
+/** Milliseconds with one decimal; `-` when there are none. */
+export function formatMs(ms: number | undefined): string {
+  return ms === undefined ? "-" : `${ms.toFixed(1)}`;
+}
+
+/** Columns of the report's table, for text and HTML. */
+export const HEADINGS = [
+  "service",
+  "account",
+  "served %",
+  "requests",
+  "unknown",
+  "wrongful",
+  "rightful",
+  "caller faults",
+  "p50 ms",
+  "p99 ms",
+  "goal ms",
+  "burn 5m",
+  "1h",
+  "30m",
+  "full",
+  "slow 5m",
+  "1h",
+  "30m",
+  "full",
+  "alarm",
+] as const;
+
+/** Alarms of a row: `FAST`, `SLOW`, both or `-`. */
+export function formatAlarm(row: Report.BurnRow): string {
+  const alarms = [row.isFast ? "FAST" : "", row.isSlow ? "SLOW" : ""];
+  return alarms.filter((one) => one !== "").join(" ") || "-";
+}
+
+function formatRates(rates: Report.BurnRates): readonly string[] {
+  return [rates.last5m, rates.last1h, rates.last30m, rates.full]
+    .map(formatRate);
+}
+
+/** One row's cells, in the order of `HEADINGS`. */
+export function formatRow(row: Report.BurnRow): readonly string[] {
+  const { good, bad, rightful, wrongful, callerFaults } = row.totals;
+  const isSplit = row.limit !== undefined;
+  return [
+    row.service,
+    row.account,
+    (Math.floor(row.served * 100_000) / 1000).toFixed(3),
+    String(good + bad + rightful + callerFaults + row.cancelled),
+    String(row.unknown),
+    isSplit ? String(wrongful) : "-",
+    String(rightful),
+    String(callerFaults),
+    formatMs(row.latency?.p50),
+    formatMs(row.latency?.p99),
+    formatMs(row.p99ObjectiveMs),
+    ...formatRates(row.answeredBurn),
+    ...formatRates(row.latencyBurn),
+    formatAlarm(row),
+  ];
+}
+
+/** Lines that say what the report covers. */
+export function formatHead(report: Report.BurnReport): readonly string[] {
+  const { answeredPct, p99Ms } = report.objectives;
+  const p99 = p99Ms === undefined ? "a quarter of the deadline" : `${p99Ms} ms`;
+  return [
+    `burn report at ${formatTime(report.atWallMs)}, ` +
+    `table revision ${report.tableRevision}`,
+    `objectives: ${answeredPct}% answered, p99 within ${p99}`,
+    ...report.instances.map((one) =>
+      `instance ${one.instance} counts since ${formatTime(one.sinceWallMs)}, ` +
+      `at most the last hour`
+    ),
+    ...report.missing.map((one) =>
+      `instance ${one.instance} is MISSING from this report: ${one.reason}`
+    ),
+  ];
+}
+
+/** Pads cells to columns: text to the left, numbers to the right. */
+export function formatColumns(
+  rows: readonly (readonly string[])[],
+  leftColumns: number,
+): readonly string[] {
+  const widths = (rows[0] ?? []).map((_, column) =>
+    Math.max(...rows.map((row) => row[column]?.length ?? 0))
+  );
+  return rows.map((row) =>
+    row.map((cell, column) =>
+      column < leftColumns
+        ? cell.padEnd(widths[column] ?? 0)
+        : cell.padStart(widths[column] ?? 0)
+    ).join("  ").trimEnd()
+  );
+}
+
+/** The report for a terminal. */
+export function formatText(report: Report.BurnReport): string {
+  const table = formatColumns([HEADINGS, ...report.rows.map(formatRow)], 2);
+  const codes = report.rows
+    .filter((row) => row.refusedByCode.size > 0)
+    .map((row) => {
+      const parts = [...row.refusedByCode].map(([code, n]) => `E${code} ${n}`);
+      return `refused ${row.service} ${row.account}: ${parts.join(", ")}`;
+    });
+  const note = "burn: use of the error budget by unanswered requests; " +
+    "slow: by answers over the goal; 1.0 uses it up exactly";
+  const none = report.rows.length === 0 ? ["no requests were counted"] : [];
+  return [...formatHead(report), "", ...table, ...none, "", ...codes, note, ""]
+    .join("\n");
+}
+
+/** The report as JSON; an unlimited rate is written as null. */
+export function formatJson(report: Report.BurnReport): string {
+  const replacer = (_key: string, value: unknown) =>
+    value instanceof Map ? Object.fromEntries(value) : value;
+  return JSON.stringify(report, replacer, 2) + "\n";
+}
--- /dev/null
+++ b/src/metrics/latency.ts
@@ -0,0 +1,87 @@
+/** Latency histograms per 5 minute window over the last hour. */
+import * as Hdr from "hdr-histogram-js";
+
+/** Length of a histogram's window in ms; windows are aligned to the wall clock. */
+export const LATENCY_WINDOW_MS = 300_000;
+/** Windows kept: one hour and the current one. */
+export const LATENCY_WINDOW_COUNT = 13;
+/** Histograms count in this unit, so that a loopback latency has a value above 0. */
+export const LATENCY_UNIT_US = 1;
+
+const MAX_LATENCY_US = 600_000_000;
+const LEAST_DISCERNED_US = 16;
+
+/** One window in a snapshot: window number (wall ms / 300 000) and the compressed histogram. */
+export type EncodedLatency = readonly [number, string];
+
+/** Latencies of one service and account: two histograms of 11 KB and 13 compressed ones of 1 to 2.4 KB. */
+export interface Latency {
+  record(wallMs: number, latencyMs: number): void;
+  encode(wallMs: number): readonly EncodedLatency[];
+  /** Seconds at the quantiles over the current and the previous window. */
+  getQuantiles(
+    wallMs: number,
+    quantiles: readonly number[],
+  ): readonly number[];
+  /** Since start. */
+  getTotal(): { readonly count: number; readonly sumMs: number };
+}
+
+/** A histogram as all of ours are: microseconds, two significant digits, 11 KB. */
+export function createHistogram(): Hdr.Histogram {
+  return Hdr.build({
+    bitBucketSize: 32,
+    autoResize: false,
+    lowestDiscernibleValue: LEAST_DISCERNED_US,
+    highestTrackableValue: MAX_LATENCY_US,
+    numberOfSignificantValueDigits: 2,
+  });
+}
+
+/** Creates an empty series. */
+export function createLatency(): Latency {
+  let live = { number: -1, histogram: createHistogram() };
+  let previous: typeof live | undefined;
+  let closed: readonly EncodedLatency[] = [];
+  let count = 0;
+  let sumMs = 0;
+
+  /** Starts a new window when the time has come; a clock that went back stays in the newest one. */
+  function advance(wallMs: number): void {
+    const number = Math.floor(wallMs / LATENCY_WINDOW_MS);
+    if (number <= live.number) return;
+    if (live.histogram.totalCount > 0) {
+      const text = Hdr.encodeIntoCompressedBase64(live.histogram);
+      closed = [...closed, [live.number, text] as const];
+    }
+    const oldest = number - LATENCY_WINDOW_COUNT;
+    closed = closed.filter(([at]) => at > oldest);
+    previous = live.number === number - 1 ? live : undefined;
+    live = { number, histogram: createHistogram() };
+  }
+
+  return {
+    record(wallMs, latencyMs) {
+      advance(wallMs);
+      const us = Math.round(latencyMs * 1000 / LATENCY_UNIT_US);
+      const value = Math.min(Math.max(us, 0), MAX_LATENCY_US);
+      live.histogram.recordValue(Number.isFinite(value) ? value : 0);
+      count++;
+      sumMs += latencyMs;
+    },
+    encode(wallMs) {
+      advance(wallMs);
+      if (live.histogram.totalCount === 0) return closed;
+      const text = Hdr.encodeIntoCompressedBase64(live.histogram);
+      return [...closed, [live.number, text]];
+    },
+    getQuantiles(wallMs, quantiles) {
+      advance(wallMs);
+      const both = createHistogram();
+      both.add(live.histogram);
+      if (previous !== undefined) both.add(previous.histogram);
+      return quantiles.map((q) => both.getValueAtPercentile(q * 100) / 1e6);
+    },
+    getTotal: () => ({ count, sumMs }),
+  };
+}
--- /dev/null
+++ b/tests/burn_test.ts
@@ -0,0 +1,193 @@
+import * as Fs from "node:fs";
+import { describe, expect, it } from "vitest";
+import * as Baseline from "./support/baseline.ts";
+import * as Classify from "../src/burn/classify.ts";
+import * as Html from "../src/burn/html.ts";
+import * as Report from "../src/burn/report.ts";
+import * as Snapshot from "../src/burn/snapshot.ts";
+import * as Text from "../src/burn/text.ts";
+import type * as Contracts from "../src/contracts.ts";
+import * as Metrics from "../src/metrics/metrics.ts";
+import * as Table from "../src/table/table.ts";
+
+const START_MS = 1_800_000_000_000;
+const table = Table.parseTable(
+  Fs.readFileSync("examples/tende/table.csv", "utf8"),
+  4,
+).unwrap();
+
+function createTestMetrics(instance: string) {
+  let now = START_MS;
+  const clock = { nowMs: () => now - START_MS, wallMs: () => now };
+  const metrics = Metrics.createMetrics({ clock, instance });
+  const record = (
+    account: string,
+    count: number,
+    more: Partial<Contracts.RequestRecord> = {},
+  ) => {
+    for (let i = 0; i < count; i++) {
+      metrics.record({
+        service: "order",
+        account,
+        status: 200,
+        codeNumber: 0,
+        outcome: "answered",
+        latencyMs: 10 + i % 10,
+        ...more,
+      });
+    }
+  };
+  const snapshot = () =>
+    Snapshot.tryReadSnapshot(
+      JSON.parse(JSON.stringify(metrics.getBurnSnapshot())),
+    )!;
+  return {
+    metrics,
+    record,
+    snapshot,
+    advance: (ms: number) => void (now += ms),
+  };
+}
+
+const REFUSED = { outcome: "not-run", codeNumber: 120, status: 429 } as const;
+
+function getReport(
+  instances: readonly ReturnType<typeof createTestMetrics>[],
+): Report.BurnReport {
+  return Report.createReport({
+    table,
+    objectives: Report.DEFAULT_OBJECTIVES,
+    snapshots: instances.map((one) => one.snapshot()),
+    missing: [{ instance: "c1", reason: "E201 peer-unreachable" }],
+    nowWallMs: START_MS,
+  });
+}
+
+/** Two instances: a large account over its rate, and a shepherd refused within its rate on one of them. */
+function runStory() {
+  const [a, b] = [createTestMetrics("a1"), createTestMetrics("b1")];
+  for (let minute = 0; minute < 20; minute++) {
+    for (const one of [a, b]) {
+      one.record("outfitters-milano", 2400);
+      one.record("outfitters-milano", 3000, REFUSED);
+      one.record("public", 100);
+      one.record("shepherd-rossi", 4, { latencyMs: 4000 });
+    }
+    if (minute >= 10) b.record("shepherd-rossi", 2, REFUSED);
+    a.advance(60_000);
+    b.advance(60_000);
+  }
+  a.record("alpine-club", 1, { outcome: "unknown", codeNumber: 116 });
+  a.record("alpine-club", 999);
+  a.record("alpine-club", 5, { ...REFUSED, codeNumber: 110, status: 428 });
+  return [a, b];
+}
+
+describe("burn report", () => {
+  it("puts the worst-served account first, whatever its size: the shepherd must be seen", () => {
+    const report = getReport(runStory());
+    expect(report.rows.map((row) => row.account)).toEqual([
+      "shepherd-rossi",
+      "alpine-club",
+      "outfitters-milano",
+      "public",
+    ]);
+    const shepherd = report.rows[0]!;
+    expect(shepherd.totals.wrongful).toBe(20);
+    expect(shepherd.isFast && shepherd.isSlow).toBe(true);
+    Baseline.expectBaseline("burn_report.txt", Text.formatText(report));
+  });
+
+  it("adds up instances before the split: each alone has refused within the limit", () => {
+    const [a, b] = [createTestMetrics("a1"), createTestMetrics("b1")];
+    // shepherd-rossi: rate 4/s and burst 20, so 60 in one window.
+    for (const one of [a, b]) one.record("shepherd-rossi", 30);
+    for (const one of [a, b]) one.record("shepherd-rossi", 10, REFUSED);
+    const [row] = getReport([a, b]).rows;
+    expect(row?.totals).toMatchObject({ rightful: 20, wrongful: 0 });
+  });
+
+  it("counts refusals for a request's own faults apart: no limit would have let them in", () => {
+    const row = getReport(runStory()).rows[1]!;
+    expect(row.totals).toMatchObject({ callerFaults: 5, wrongful: 0, bad: 1 });
+  });
+
+  it("does not call an account over its rate wrongly refused in each window", () => {
+    const window = (number: number, answered: number, refused: number) => ({
+      number,
+      answered,
+      ran: 0,
+      unknown: 0,
+      cancelled: 0,
+      refused: new Map([[120, refused]]),
+    });
+    const limit = { rate: 10, burst: 50 };
+    const steady = [window(1, 150, 500), window(2, 100, 500)];
+    const judged = Classify.judgeWindows(steady, limit);
+    expect(judged.map((one) => one.wrongful)).toEqual([0, 0]);
+    // After ten idle seconds 50 of the burst are back.
+    const later = Classify.judgeWindows([...steady, window(4, 100, 80)], limit);
+    expect(later[2]?.wrongful).toBe(50);
+  });
+
+  it("is one page that loads nothing, and escapes what callers can choose", () => {
+    const a = createTestMetrics("a1");
+    a.record("<script>", 1);
+    const html = Html.formatHtml(getReport([a]));
+    expect(html).not.toMatch(/<script|src=|href=|url\(|@import/);
+    expect(html).toContain("&lt;script&gt;");
+    expect(html).toContain("<svg");
+  });
+
+  it("refuses a snapshot of another shape instead of reporting nonsense", () => {
+    const good = createTestMetrics("a1").snapshot();
+    expect(Snapshot.tryReadSnapshot({ ...good, series: [1] })).toBeUndefined();
+    expect(Snapshot.tryReadSnapshot(undefined)).toBeUndefined();
+  });
+});
+
+describe("metrics", () => {
+  it("keeps an hour and forgets older windows, so that memory is bounded", () => {
+    const a = createTestMetrics("a1");
+    a.record("alpine-club", 1);
+    a.advance(3_599_000);
+    expect(a.snapshot().series[0]?.windows.length).toBe(1);
+    a.advance(12_000);
+    expect(a.snapshot().series[0]?.windows.length).toBe(0);
+  });
+
+  it("fits its largest snapshot into a peer message of 2 MB", () => {
+    const a = createTestMetrics("a1");
+    const step = () => {
+      for (let account = 0; account < 100; account++) {
+        const name = `account-${account}`;
+        for (let i = 0; i < 3; i++) {
+          const latencyMs = 10 ** (Math.random() * 5);
+          a.record(name, 1, { latencyMs });
+        }
+        a.record(name, 3, REFUSED);
+        a.record(name, 1, { ...REFUSED, codeNumber: 123 });
+      }
+      a.advance(10_000);
+    };
+    for (let i = 0; i < 400; i++) step();
+    const snapshot = a.snapshot();
+    expect(snapshot.series.length).toBe(33);
+    const bytes = JSON.stringify(snapshot).length;
+    console.log(`largest snapshot: ${bytes} bytes`);
+    expect(bytes).toBeLessThan(2_000_000);
+  });
+
+  it("writes Prometheus text with escaped labels; a raw quote breaks the whole scrape", () => {
+    const a = createTestMetrics("a1");
+    a.record('odd"name\n', 2);
+    a.metrics.count("peer-reconnects", 3);
+    a.metrics.gauge("queue.length", 7);
+    const text = a.metrics.formatText();
+    expect(text).toContain("anvilroute_peer_reconnects_total 3\n");
+    expect(text).toContain("anvilroute_queue_length 7\n");
+    expect(text).toContain('account="odd\\"name\\n",outcome="answered"');
+    expect(text).toMatch(/quantile="0.99"} 0\.01\d+\n/);
+    expect(text).toContain("anvilroute_latency_seconds_count{");
+  });
+});
