--- /dev/null
+++ b/src/daemon/instance.ts
@@ -0,0 +1,314 @@
+/**
+ * Composition of an entry instance: creates every module, connects them, starts
+ * them under the supervisor tree, and takes them down in order.
+ */
+import * as Crypto from "node:crypto";
+import * as Admission from "../admission/admission.ts";
+import type * as Context from "../admission/context.ts";
+import type * as Place from "../admission/place.ts";
+import * as Budgets from "../budget/budgets.ts";
+import * as Division from "../budget/division.ts";
+import * as Clock from "../clock.ts";
+import * as ConfigStore from "../config/config_store.ts";
+import * as Freshness from "../config/freshness.ts";
+import type * as Contracts from "../contracts.ts";
+import * as Drain from "../drain/drain.ts";
+import * as Exchange from "../forward/exchange.ts";
+import * as Keys from "../keys/keys.ts";
+import type * as Log from "../log.ts";
+import * as Lookup from "../lookup/lookup.ts";
+import * as Metrics from "../metrics/metrics.ts";
+import * as Handover from "../once/handover.ts";
+import * as Relay from "../once/relay.ts";
+import * as Tickets from "../once/tickets.ts";
+import * as PeerNet from "../peer/net.ts";
+import * as PlatformClient from "../platform/client.ts";
+import * as FairQueue from "../queue/fair_queue.ts";
+import * as Poison from "../retry/poison.ts";
+import * as RetryBudget from "../retry/retry_budget.ts";
+import type * as Settings from "../settings/settings.ts";
+import * as Steering from "../steering/steering.ts";
+import * as Supervisor from "../supervisor.ts";
+import * as Table from "../table/table.ts";
+import * as Targets from "../targets/targets.ts";
+import type * as Types from "../types.ts";
+import * as Directory from "./directory.ts";
+import * as HeartbeatState from "./heartbeat.ts";
+import * as Rpc from "./rpc.ts";
+import * as Servers from "./servers.ts";
+
+/** Callers' resends come within minutes; the ledger has to remember that long. */
+const TICKET_TTL_MS = 10 * 60_000;
+const MAX_WAITING_PER_ACCOUNT = 200;
+const READY_POLL_MS = 20;
+/** Without store and peers the instance still answers, with refusals that say why. */
+const READY_LIMIT_MS = 15_000;
+const PEER_RAMP_TIMEOUT_MS = 500;
+
+/** A running entry instance. */
+export interface Instance {
+  readonly addresses: {
+    readonly caller: Types.Address;
+    readonly probe: Types.Address;
+    readonly peer: Types.Address;
+  };
+  /** Resolves when the instance serves callers. */
+  readonly ready: Promise<void>;
+  /** Graceful shutdown. */
+  stop(): Promise<void>;
+}
+
+/** Starts an entry instance. Rejects when a listener can't be bound. */
+export async function startInstance(
+  cfg: Settings.Settings,
+  log: Log.Logger,
+): Promise<Instance> {
+  const clock = Clock.systemClock;
+  const root = Supervisor.createSupervisor("anvilrouted", log);
+  const incarnation = Crypto.randomUUID().replaceAll("-", "");
+  const { id: self, domain, region } = cfg.instance;
+  const heartbeat = HeartbeatState.createHeartbeatState(
+    cfg,
+    incarnation,
+    clock,
+  );
+
+  const platform = PlatformClient.createPlatformClient({
+    address: cfg.platform.address,
+    timeoutMs: cfg.platform.timeoutMs,
+    clock,
+  });
+  const peers = PeerNet.createPeerNet({
+    self,
+    incarnation,
+    domain,
+    listen: cfg.listen.peer,
+    seeds: cfg.peers.seeds,
+    secret: cfg.peers.secret,
+    getHeartbeat: heartbeat.get,
+    supervisor: root.createChild("peers"),
+    log,
+    clock,
+  });
+  const keys = Keys.createKeys();
+  const config = ConfigStore.createConfigStore({
+    platform,
+    peers,
+    parseTable: Table.parseTable,
+    keys,
+    supervisor: root.createChild("config"),
+    log,
+    clock,
+    cfg: { domain },
+  });
+  const freshness = Freshness.createFreshness({
+    peers,
+    platform,
+    config,
+    clock,
+    domains: () => [...(config.getTable()?.domains.keys() ?? [])],
+    cfg: { domain, ...cfg.keys },
+  });
+  const budgets = Budgets.createBudgets({
+    self,
+    incarnation,
+    domain,
+    region,
+    platform,
+    peers,
+    supervisor: root.createChild("budgets"),
+    log,
+    clock,
+    cfg,
+  });
+  const steering = Steering.createSteering({
+    region,
+    clock,
+    getPeerWeights: () => getPeerRamp(peers),
+  });
+  const targets = Targets.createTargets({
+    self,
+    domain,
+    region,
+    getLiveInstances: () => heartbeat.getLiveInstances(peers),
+    supervisor: root.createChild("targets"),
+    log,
+    clock,
+  });
+  const metrics = Metrics.createMetrics({ clock, instance: self });
+  const serviceTimes = HeartbeatState.createServiceTimes();
+  const queue = FairQueue.createFairQueue<Place.Placement>({
+    clock,
+    maxPerAccount: MAX_WAITING_PER_ACCOUNT,
+    getServiceTimeMs: serviceTimes.getMeanMs,
+  });
+  const ledger = Handover.createLedger({
+    maxEntries: cfg.limits.ledgerEntries,
+    maxBytes: cfg.limits.ledgerBytes,
+    clock,
+    peers,
+    log,
+  });
+  const deps: Context.Deps = {
+    region,
+    config,
+    freshness,
+    keys,
+    budgets,
+    steering,
+    targets: serviceTimes.watch(targets),
+    queue,
+    tickets: Tickets.createTickets({
+      self,
+      incarnation,
+      secret: cfg.peers.secret,
+      ttlMs: TICKET_TTL_MS,
+      clock,
+    }),
+    ledger,
+    poison: Poison.createPoison({ clock, peers, log }),
+    retries: RetryBudget.createRetryBudget({ clock }),
+    peers,
+    exchanger: Exchange.createExchanger({
+      bufferBytes: cfg.limits.bufferBytes,
+    }),
+    relay: Relay.createRelaySigner(cfg.peers.secret, clock),
+    metrics,
+    clock,
+    log,
+    limits: {
+      maxBytes: cfg.limits.maxBodyBytes,
+      bufferBytes: cfg.limits.bufferBytes,
+    },
+    findRoute: Table.findRoute,
+  };
+
+  let division: Division.Division | undefined;
+  config.onTable((table) => {
+    division = Division.createDivision(table);
+    budgets.setTable(table);
+    steering.setTable(table);
+    log.info("table-in-force", { revision: table.revision });
+  });
+  targets.onSlotFree((service) => queue.wake(service));
+  const lookup = Lookup.createLookup({
+    deps,
+    getSelf: heartbeat.get,
+    getHeldRate: (shards, ofDomain, service, account) =>
+      getHeldRate(division, shards, ofDomain, `acct/${service}/${account}`),
+    maxAgeMs: cfg.lookup.maxAgeMs,
+  });
+  Rpc.registerMethods({ deps, heartbeat, steering, budgets, metrics, peers });
+
+  const peerAddress = await peers.listen();
+  const caller = await Servers.startCallerListener(
+    cfg.listen.caller,
+    { lookup, service: Admission.createAdmission(deps) },
+    log,
+  );
+  const probe = await Servers.startProbeListener(
+    cfg.listen.probe,
+    metrics,
+    heartbeat.getState,
+  );
+  heartbeat.setAddresses(caller.address, peerAddress);
+  heartbeat.watch({
+    config,
+    budgets,
+    platform,
+    freshness,
+    targets,
+    getInFlight: caller.getInFlight,
+  });
+  targets.start();
+  root.every("ledger-sweep", ledger.sweepIntervalMs, ledger.sweep);
+  root.every("queue-wake", 10, () => wakeQueues(config, queue));
+
+  const ready = start();
+
+  async function start(): Promise<void> {
+    const limitAtMs = clock.nowMs() + READY_LIMIT_MS;
+    await Directory.startDirectory({
+      domain,
+      platform,
+      peers,
+      targets,
+      supervisor: root.createChild("directory"),
+      clock,
+    });
+    await budgets.start();
+    const isReady = () => config.getTable() !== undefined && budgets.isValid();
+    while (!isReady() && clock.nowMs() < limitAtMs) {
+      await Clock.sleep(READY_POLL_MS);
+    }
+    await steering.bootstrap();
+    heartbeat.setState("live");
+    log.info("ready", { caller: caller.address, peer: peerAddress });
+  }
+
+  async function stop(): Promise<void> {
+    await Drain.drain({
+      lookupMaxAgeMs: cfg.lookup.maxAgeMs,
+      listener: caller,
+      ledger,
+      peers,
+      domain,
+      announceLeaving: () => heartbeat.setState("leaving"),
+      handOverShards: () => budgets.handOverAll(),
+      clock,
+      log,
+    });
+    await budgets.stop();
+    await root.stop();
+    await peers.close();
+    await deps.exchanger.close();
+    await probe.close();
+    await platform.close();
+  }
+
+  return {
+    addresses: {
+      caller: caller.address,
+      probe: probe.address,
+      peer: peerAddress,
+    },
+    ready,
+    stop,
+  };
+}
+
+async function getPeerRamp(peers: Contracts.PeerNet): Promise<unknown> {
+  for (const member of peers.getMembers()) {
+    if (!member.isReachable || member.heartbeat.state !== "live") continue;
+    const reply = await peers.call<unknown>(
+      member.heartbeat.id,
+      "steering.ramp",
+      {},
+      PEER_RAMP_TIMEOUT_MS,
+    );
+    if (reply.isOk()) return reply.value;
+  }
+  return undefined;
+}
+
+function getHeldRate(
+  division: Division.Division | undefined,
+  shards: readonly number[],
+  domain: Types.Domain,
+  key: Contracts.BudgetKey,
+): number {
+  if (division === undefined) return 0;
+  return shards.reduce(
+    (sum, shard) => sum + division.getShardShare(domain, shard, key).rate,
+    0,
+  );
+}
+
+function wakeQueues(
+  config: Contracts.ConfigStore,
+  queue: Contracts.FairQueue<Place.Placement>,
+): void {
+  for (const service of config.getTable()?.services.keys() ?? []) {
+    if (queue.getLength(service) > 0) queue.wake(service);
+  }
+}
--- /dev/null
+++ b/src/daemon/rpc.ts
@@ -0,0 +1,110 @@
+/** Methods for peers and the operators' tool that belong to no single module. */
+import type * as Budgets from "../budget/budgets.ts";
+import type * as Context from "../admission/context.ts";
+import type * as Contracts from "../contracts.ts";
+import type * as Steering from "../steering/steering.ts";
+import type * as Types from "../types.ts";
+import type * as HeartbeatState from "./heartbeat.ts";
+
+/** Parts that the methods show. */
+export interface RpcSources {
+  readonly deps: Context.Deps;
+  readonly heartbeat: HeartbeatState.HeartbeatState;
+  readonly steering: Steering.RampedSteering;
+  readonly budgets: Budgets.Budgets;
+  readonly metrics: Contracts.Metrics;
+  readonly peers: Contracts.PeerNet;
+}
+
+/** A budget as `status` and `explain` show it. */
+interface BudgetView extends Contracts.BudgetHolding {
+  readonly key: Contracts.BudgetKey;
+}
+
+function getBudgetKeys(
+  rules: Types.ServiceRules,
+  account?: Types.Account,
+): readonly Contracts.BudgetKey[] {
+  const { service, rows } = rules;
+  const accounts = account === undefined
+    ? new Set(rows.flatMap((row) => [...row.accounts.keys()]))
+    : new Set([account]);
+  return [
+    ...[...accounts].map((one) => `acct/${service}/${one}`),
+    ...rows.map((row) => `cap/${service}/${row.region}`),
+    ...rows.map((row) => `link/${service}/${row.region}/in`),
+    ...rows.map((row) => `link/${service}/${row.region}/out`),
+  ];
+}
+
+function viewBudgets(
+  budgets: Contracts.Budgets,
+  keys: readonly Contracts.BudgetKey[],
+): readonly BudgetView[] {
+  return keys.map((key) => ({ key, ...budgets.getHolding(key) }));
+}
+
+function getStatus(sources: RpcSources): unknown {
+  const { deps, heartbeat, budgets } = sources;
+  const table = deps.config.getTable();
+  const rules = [...table?.services.values() ?? []];
+  return {
+    ...heartbeat.get(),
+    budgetsValid: budgets.isValid(),
+    budgetMode: budgets.getMode(),
+    keysCurrent: deps.freshness.isCurrent(),
+    members: sources.peers.getMembers().map((one) => ({
+      ...one.heartbeat,
+      ageMs: Math.round(one.ageMs),
+      isReachable: one.isReachable,
+    })),
+    targets: deps.targets.list(),
+    budgets: rules.flatMap((one) => viewBudgets(budgets, getBudgetKeys(one))),
+    ledger: deps.ledger.getSize(),
+  };
+}
+
+interface ExplainParams {
+  readonly service: Types.Service;
+  readonly account: Types.Account;
+}
+
+/** What this instance would do with a request now, and which limit binds first. */
+function explain(sources: RpcSources, params: ExplainParams): unknown {
+  const { deps, budgets, steering } = sources;
+  const rules = deps.config.getTable()?.services.get(params.service);
+  if (rules === undefined) return { error: "no such service" };
+  const weights = steering.getEffectiveWeights(params.service);
+  const targets = deps.targets.list()
+    .filter((one) => one.service === params.service);
+  return {
+    instance: sources.peers.self,
+    region: deps.region,
+    keysCurrent: deps.freshness.isCurrent(),
+    budgetsValid: budgets.isValid(),
+    regions: rules.rows.map((row) => ({
+      region: row.region,
+      tableWeight: row.weight,
+      effectiveWeight: weights.get(row.region),
+      usableTargets: targets.filter((one) =>
+        one.region === row.region &&
+        (one.state === "usable" || one.state === "cold")
+      ).length,
+      hasUsable: deps.targets.hasUsable(params.service, row.region),
+    })),
+    budgets: viewBudgets(budgets, getBudgetKeys(rules, params.account)),
+    queueLength: deps.queue.getLength(params.service),
+  };
+}
+
+/** Registers the methods. */
+export function registerMethods(sources: RpcSources): void {
+  const { peers } = sources;
+  peers.handle("status", () => getStatus(sources));
+  peers.handle(
+    "explain",
+    (params) => explain(sources, params as ExplainParams),
+  );
+  peers.handle("report.burn", () => sources.metrics.getBurnSnapshot());
+  peers.handle("steering.ramp", () => sources.steering.exportRamp());
+}
