--- a/src/queue/fair_queue.ts
+++ b/src/queue/fair_queue.ts
@@ -125,7 +125,6 @@
     queue: ServiceQueue<T>,
     waiting: Waiting<T>,
   ): LinkedList.Node<Waiting<T>> {
-    if (queue.length === 0) queue.rate.beginBusy(clock.nowMs());
     const accountQueue = getAccountQueue(queue, waiting.entry.account);
     const node = accountQueue.entries.append(waiting);
     accountQueue.turn ??= queue.turns.append(accountQueue);
@@ -264,6 +263,7 @@
     if (queue.length === 0) {
       const value = tryStart();
       if (value !== undefined) return Promise.resolve(Results.Ok(value));
+      queue.rate.beginBusy(now);
     }
     const ahead = queue.accounts.get(account)?.entries.size ?? 0;
     if (ahead >= opts.maxPerAccount) {
--- /dev/null
+++ b/tests/poison_test.ts
@@ -0,0 +1,191 @@
+import * as Results from "ts-results-es";
+import { describe, expect, it } from "vitest";
+import type * as Contracts from "../src/contracts.ts";
+import * as Log from "../src/log.ts";
+import * as Poison from "../src/retry/poison.ts";
+import * as RetryBudget from "../src/retry/retry_budget.ts";
+import type * as Types from "../src/types.ts";
+
+const MINUTE_MS = 60_000;
+
+/** Instances that deliver messages at once, under one clock that the test moves. */
+function createFleet(size: number) {
+  let now = 1_000;
+  const clock = { nowMs: () => now, wallMs: () => now };
+  const log = Log.createLogger("error");
+  const handlers = new Map<string, Contracts.RpcHandler>();
+  const heartbeats = new Map<string, (heartbeat: Types.Heartbeat) => void>();
+  const sent: unknown[] = [];
+
+  function createPeers(self: string): Contracts.PeerNet {
+    return {
+      self,
+      incarnation: "1",
+      getMembers: () => [],
+      tryGetMember: () => undefined,
+      call: async <T>(id: string, _method: string, params: unknown) =>
+        Results.Ok(await handlers.get(id)?.(params, self) as T),
+      notifyAll: (_method, params) => {
+        sent.push(params);
+        for (const [id, handler] of handlers) {
+          if (id !== self) handler(JSON.parse(JSON.stringify(params)), self);
+        }
+      },
+      handle: (_method, fn) => void handlers.set(self, fn),
+      onHeartbeat: (fn) => void heartbeats.set(self, fn),
+      addPeerAddresses: () => {},
+    };
+  }
+
+  function start(self: string) {
+    return Poison.createPoison({ clock, peers: createPeers(self), log });
+  }
+
+  return {
+    instances: Array.from({ length: size }, (_, i) => start(`i${i}`)),
+    start,
+    sent,
+    pass: (ms: number) => now += ms,
+    handle: (id: string, params: unknown) => handlers.get(id)?.(params, "x"),
+    hear: (self: string, from: string) =>
+      heartbeats.get(self)?.({ id: from } as Types.Heartbeat),
+  };
+}
+
+function createOne() {
+  const fleet = createFleet(1);
+  const [poison] = fleet.instances;
+  if (poison === undefined) throw new Error("no instance");
+  return { ...fleet, poison };
+}
+
+describe("poison requests", () => {
+  it("are blocked after two different targets, for five minutes", () => {
+    const { poison, pass } = createOne();
+    poison.reportBreak("bad", "t1");
+    poison.reportBreak("bad", "t1");
+    expect(poison.isBlocked("bad"), "one target may be at fault").toBe(false);
+    pass(4 * MINUTE_MS);
+    poison.reportBreak("bad", "t2");
+    expect(poison.isBlocked("bad")).toBe(true);
+    pass(5 * MINUTE_MS - 1);
+    expect(poison.isBlocked("bad")).toBe(true);
+    pass(1);
+    expect(poison.isBlocked("bad")).toBe(false);
+  });
+
+  it("do not take innocent requests on the same crashing target with them", () => {
+    const { poison } = createOne();
+    for (let i = 0; i < 9; i++) poison.reportBreak(`other${i}`, "t1");
+    poison.reportBreak("bad", "t1");
+    poison.reportBreak("bad", "t2");
+    expect(poison.isBlocked("bad")).toBe(true);
+    for (let i = 0; i < 9; i++) {
+      expect(poison.isBlocked(`other${i}`)).toBe(false);
+    }
+  });
+
+  it("are not suspected for failures far apart", () => {
+    const { poison, pass } = createOne();
+    poison.reportBreak("slow", "t1");
+    pass(11 * MINUTE_MS);
+    poison.reportBreak("slow", "t2");
+    expect(poison.isBlocked("slow")).toBe(false);
+  });
+
+  it("are cleared by an answer, so that popular requests survive a failed domain", () => {
+    const fleet = createFleet(2);
+    const [a, b] = fleet.instances;
+    a?.reportBreak("popular", "t1");
+    b?.reportBreak("popular", "t2");
+    expect(a?.isBlocked("popular")).toBe(true);
+    b?.reportAnswered("popular");
+    expect(a?.isBlocked("popular")).toBe(false);
+    expect(b?.isBlocked("popular")).toBe(false);
+  });
+
+  it("are counted over all instances and blocked at all of them", () => {
+    const fleet = createFleet(3);
+    fleet.instances[0]?.reportBreak("bad", "t1");
+    fleet.instances[1]?.reportBreak("bad", "t2");
+    for (const each of fleet.instances) {
+      expect(each.isBlocked("bad")).toBe(true);
+    }
+    const count = fleet.sent.length;
+    fleet.instances[2]?.reportBreak("bad", "t2");
+    expect(fleet.sent.length, "nothing new, nothing sent").toBe(count);
+    fleet.pass(6 * MINUTE_MS);
+    fleet.instances[2]?.reportBreak("bad", "t2");
+    expect(fleet.instances[0]?.isBlocked("bad"), "again").toBe(true);
+  });
+
+  it("are learnt from a peer after a restart", async () => {
+    const fleet = createFleet(2);
+    fleet.instances[0]?.reportBreak("bad", "t1");
+    fleet.instances[0]?.reportBreak("bad", "t2");
+    fleet.pass(4 * MINUTE_MS);
+    const started = fleet.start("i2");
+    fleet.hear("i2", "i0");
+    await expect.poll(() => started.isBlocked("bad")).toBe(true);
+    fleet.pass(MINUTE_MS);
+    expect(started.isBlocked("bad"), "no longer than elsewhere").toBe(false);
+  });
+
+  it("take bounded memory, and malformed reports change nothing", () => {
+    const { poison, handle } = createOne();
+    for (let i = 0; i < 12_000; i++) poison.reportBreak(`f${i}`, "t1");
+    expect(poison.getSize()).toBe(10_000);
+    const broke = { kind: "broke", fingerprint: "x" };
+    for (
+      const bad of [
+        undefined,
+        {},
+        broke,
+        { ...broke, targets: [1, 2] },
+        { ...broke, targets: Array(20).fill("t") },
+        { ...broke, fingerprint: "x".repeat(300), targets: ["t1", "t2"] },
+      ]
+    ) {
+      expect(() => handle("i0", bad)).toThrow("malformed");
+    }
+    handle("i0", { ...broke, targets: ["t1", "t2"], blockMs: 1e12 });
+    expect(poison.isBlocked("x")).toBe(true);
+    expect(poison.getSize()).toBe(10_000);
+  });
+});
+
+describe("retry budget", () => {
+  function createBudget() {
+    let now = 50_000;
+    const clock = { nowMs: () => now, wallMs: () => now };
+    const budget = RetryBudget.createRetryBudget({ clock });
+    const countRetries = () => {
+      let count = 0;
+      while (count < 10_000 && budget.tryRetry("s")) count++;
+      return count;
+    };
+    return { budget, countRetries, pass: (ms: number) => now += ms };
+  }
+
+  it("allows a tenth of the requests of the last ten seconds", () => {
+    const { budget, countRetries, pass } = createBudget();
+    for (let i = 0; i < 1_000; i++) budget.countRequest("s");
+    expect(countRetries()).toBe(100);
+    expect(countRetries()).toBe(0);
+    pass(9_000);
+    expect(countRetries(), "both still count").toBe(0);
+    for (let i = 0; i < 500; i++) budget.countRequest("s");
+    expect(countRetries()).toBe(50);
+    pass(1_000);
+    expect(countRetries(), "the first second is over").toBe(0);
+    for (let i = 0; i < 100; i++) budget.countRequest("s");
+    expect(countRetries()).toBe(10);
+  });
+
+  it("lets a quiet service retry a little, and keeps services apart", () => {
+    const { budget, countRetries } = createBudget();
+    budget.countRequest("s");
+    for (let i = 0; i < 1_000; i++) budget.countRequest("other");
+    expect(countRetries()).toBe(5);
+  });
+});
