--- a/src/result_codes.ts
+++ b/src/result_codes.ts
@@ -294,6 +294,13 @@
     "The store refused the call",
     "See the message",
   ),
+  storeWriteUnknown: code(
+    306,
+    "store-write-unknown",
+    0,
+    "The store's answer to a write was lost and reading back did not settle it",
+    "Read the record to see whether the write took effect",
+  ),
   tableSyntax: code(
     401,
     "table-syntax",
@@ -364,6 +371,13 @@
     "Not every instance confirmed",
     "See which ones, and check them",
   ),
+  toolFile: code(
+    604,
+    "tool-file",
+    0,
+    "A file cannot be read or written",
+    "Check the path and its permissions",
+  ),
 } as const satisfies Readonly<Record<string, CodeInfo>>;
 
 /** Name of a result code. */
--- a/src/table/plan_accounts.ts
+++ b/src/table/plan_accounts.ts
@@ -39,6 +39,17 @@
   return parts.join(", ");
 }
 
+function formatChange(
+  what: string,
+  was: number,
+  is: number,
+  unit: string,
+): string {
+  const [from, to] = [Steps.formatNumber(was), Steps.formatNumber(is)];
+  const change = from === to ? to : `${from} -> ${to}`;
+  return `${what} ${change} ${unit}`;
+}
+
 /** One step for each account whose limit or split over regions changes. */
 export function planAccounts(
   before: Types.ServiceRules | undefined,
@@ -56,12 +67,9 @@
     const is = getLimits(after, account);
     const regions = formatRegions(was, is);
     if (regions === "") continue;
-    const text =
-      `account ${account}: rate ${Steps.formatNumber(was.rate)} -> ` +
-      `${Steps.formatNumber(is.rate)} requests/s, burst ${
-        Steps.formatNumber(was.burst)
-      } ` +
-      `-> ${Steps.formatNumber(is.burst)} requests (${regions})`;
+    const text = `account ${account}: ` +
+      `${formatChange("rate", was.rate, is.rate, "requests/s")}, ` +
+      `${formatChange("burst", was.burst, is.burst, "requests")} (${regions})`;
     steps.push({
       kind: "account",
       service: after.service,
--- /dev/null
+++ b/tests/support/fake_fleet.ts
@@ -0,0 +1,183 @@
+/** Fakes of the store, the instances and the terminal for tests of the tool. */
+import { Ok } from "ts-results-es";
+import type * as Context from "../../src/cli/context.ts";
+import type * as Contracts from "../../src/contracts.ts";
+import * as ResultCodes from "../../src/result_codes.ts";
+
+/** What the fake store does with the next write. */
+export type WriteFault =
+  | "lost-after-write"
+  | "lost-before-write"
+  | "other-write-first"
+  | "lost-then-other-write";
+
+/** A store in memory that can be down and can lose answers. */
+export function createFakeStore() {
+  const entries = new Map<string, Contracts.StoreEntry>();
+  const faults: WriteFault[] = [];
+  const store = {
+    isDown: false,
+    faults,
+    entries,
+    put(key: string, value: unknown): number {
+      const version = (entries.get(key)?.version ?? 0) + 1;
+      const text = typeof value === "string" ? value : JSON.stringify(value);
+      entries.set(key, { key, value: text, version });
+      return version;
+    },
+  };
+  const down = () => ResultCodes.fail("storeUnreachable", "no answer");
+  const other = { writeId: "other", by: "leena" };
+
+  function putOther(key: string): void {
+    const old = JSON.parse(entries.get(key)?.value ?? "{}");
+    const csv = old.csv?.replace(",100,1200,", ",70,1200,");
+    store.put(key, { ...old, ...other, csv });
+  }
+
+  const platform = {
+    get: (key: string) =>
+      Promise.resolve(store.isDown ? down() : Ok(entries.get(key))),
+    cas(key: string, expected: number, value: string) {
+      if (store.isDown) return Promise.resolve(down());
+      const fault = faults.shift();
+      if (fault === "lost-before-write") return Promise.resolve(down());
+      if (fault === "other-write-first") putOther(key);
+      if ((entries.get(key)?.version ?? 0) !== expected) {
+        return Promise.resolve(ResultCodes.fail("storeConflict", key));
+      }
+      const version = store.put(key, value);
+      if (fault === "lost-then-other-write") putOther(key);
+      const isLost = fault !== undefined && fault.startsWith("lost");
+      return Promise.resolve(isLost ? down() : Ok(version));
+    },
+  } as unknown as Contracts.PlatformClient;
+  return { ...store, platform, setDown: (to: boolean) => (store.isDown = to) };
+}
+
+/** One instance as the tool sees it. */
+export interface FakeInstance {
+  readonly id: string;
+  readonly address: string;
+  isDown: boolean;
+  /** Calls of `status` until a pushed record is in force. */
+  delayCalls: number;
+  tableRevision: number;
+  keysRevision: number;
+  readonly withdrawn: string[];
+  /** Record for `config.get`. */
+  keysRecord: unknown;
+  burn: unknown;
+}
+
+/** Creates an instance of the domain `<region>-<n>`. */
+export function createFakeInstance(id: string, port: number): FakeInstance {
+  return {
+    id,
+    address: `10.0.0.1:${port}`,
+    isDown: false,
+    delayCalls: 0,
+    tableRevision: 1,
+    keysRevision: 1,
+    withdrawn: [],
+    keysRecord: undefined,
+    burn: undefined,
+  };
+}
+
+function answer(
+  one: FakeInstance,
+  all: readonly FakeInstance[],
+  method: string,
+  params: Record<string, unknown>,
+): unknown {
+  switch (method) {
+    case "members.list":
+      return all.map((it) => ({
+        heartbeat: { id: it.id, state: "live", peerAddress: it.address },
+        ageMs: 10,
+        isReachable: !it.isDown,
+      }));
+    case "config.push": {
+      const field = params["key"] === "table"
+        ? "tableRevision"
+        : "keysRevision";
+      one[field] = Math.max(one[field], Number(params["revision"]));
+      one.withdrawn.push(...(params["withdrawn"] as string[] ?? []));
+      return { key: params["key"], revision: one[field] };
+    }
+    case "config.get":
+      return { revision: one.keysRevision, record: one.keysRecord };
+    case "report.burn":
+      return one.burn;
+    case "explain":
+      return { ...params, regions: ["uusimaa", "pirkanmaa"], tokens: 41.23456 };
+    case "status": {
+      const isLate = one.delayCalls-- > 0;
+      return {
+        id: one.id,
+        domain: "uusimaa-1",
+        region: "uusimaa",
+        state: "live",
+        incarnation: "i1",
+        tableRevision: isLate ? 0 : one.tableRevision,
+        keysRevision: one.keysRevision,
+        storeSeenMsAgo: 200,
+        shards: [1, 2],
+        members: [{ isReachable: true }, { isReachable: false }],
+        targets: [{ state: "usable" }, { state: "ejected" }],
+        budgets: [],
+      };
+    }
+    default:
+      throw new Error(`the fake has no method ${method}`);
+  }
+}
+
+/** The tool's dependencies over fakes; time moves only in `sleep`. */
+export function createFakeDeps(
+  store: ReturnType<typeof createFakeStore>,
+  instances: readonly FakeInstance[],
+  files: Map<string, string>,
+) {
+  let now = 0;
+  const printed = { out: "", err: "" };
+  const deps: Context.Deps = {
+    clock: { nowMs: () => now, wallMs: () => 1_800_000_000_000 + now },
+    sleep: (ms) => {
+      now += ms;
+      return Promise.resolve();
+    },
+    connectPlatform: () => store.platform,
+    connectPeer: (address) => ({
+      call: <T>(method: string, params: unknown) => {
+        const one = instances.find((it) => it.address === address);
+        if (one === undefined || one.isDown) {
+          return Promise.resolve(ResultCodes.fail("peerUnreachable", address));
+        }
+        const given = params as Record<string, unknown>;
+        return Promise.resolve(Ok(answer(one, instances, method, given) as T));
+      },
+      close: () => {},
+    }),
+    files: {
+      exists: (path) => files.has(path),
+      read: (path) => {
+        const text = files.get(path);
+        return text === undefined
+          ? ResultCodes.fail("toolFile", path)
+          : Ok(text);
+      },
+      write: (path, text) => {
+        files.set(path, text);
+        return Ok(undefined);
+      },
+    },
+    stdout: { write: (text) => void (printed.out += text), isTerminal: false },
+    stderr: { write: (text) => void (printed.err += text), isTerminal: false },
+    operator: "matti",
+    randomBytes: (count) => new Uint8Array(count).fill(0xa5),
+    defaultConfig: "tool.toml",
+  };
+  return { deps, printed };
+}
