Add example settings, tool settings and a systemd unit

Change: examples/ holds settings of one instance of each company, the tool's settings and a unit that waits longer than the longest drain and does not restart on wrong settings; tests check them against the parsers.

Conclusion: the examples stay in step with the code.

--- a/tests/table_test.ts
+++ b/tests/table_test.ts
@@ -1,7 +1,11 @@
 import * as Fs from "node:fs";
 import * as FastCheck from "fast-check";
+import { Ok } from "ts-results-es";
 import { describe, expect, it } from "vitest";
 import * as Baseline from "./support/baseline.ts";
+import type * as Context from "../src/cli/context.ts";
+import * as ToolSettings from "../src/cli/tool_settings.ts";
+import * as Settings from "../src/settings/settings.ts";
 import * as Table from "../src/table/table.ts";
 
 const GOOD = Fs.readFileSync("examples/kaksin/table.csv", "utf8");
@@ -143,5 +147,45 @@
       const sum = links.reduce((a, b) => a + b, 0);
       expect(sum).toBeLessThan(company === "kaksin" ? 280 : 4000);
     });
+
+    it(`${company}: the settings are good and name a domain of the table`, () => {
+      const cfg = Settings.parseSettings(
+        Fs.readFileSync(`examples/${company}/instance.toml`, "utf8"),
+      ).unwrap();
+      const csv = Fs.readFileSync(`examples/${company}/table.csv`, "utf8");
+      const { domains } = Table.parseTable(csv, 1).unwrap();
+      expect(domains.get(cfg.instance.domain)).toBe(cfg.instance.region);
+    });
   }
+
+  it("systemd waits for the longest drain before it kills, and starts the program that is built", () => {
+    const unit = Fs.readFileSync(
+      "examples/systemd/anvilrouted.service",
+      "utf8",
+    );
+    const stopS = Number(/^TimeoutStopSec=(\d+)$/m.exec(unit)?.[1]);
+    const deadlines = ["kaksin", "tende"].flatMap((company) => {
+      const csv = Fs.readFileSync(`examples/${company}/table.csv`, "utf8");
+      const { services } = Table.parseTable(csv, 1).unwrap();
+      return [...services.values()].map((rules) => rules.deadlineMs);
+    });
+    const DEFAULT_MAX_AGE_MS = 5_000;
+    const drainMs = Math.max(...deadlines) + DEFAULT_MAX_AGE_MS;
+    expect(stopS * 1000).toBeGreaterThan(drainMs);
+    const { bin } = JSON.parse(Fs.readFileSync("package.json", "utf8"));
+    expect(unit).toContain(`/opt/anvilroute/${bin.anvilrouted} --config`);
+    expect(unit).toMatch(/^RestartPreventExitStatus=2$/m);
+  });
+
+  it("the tool's settings are good", () => {
+    const files = {
+      exists: () => true,
+      read: (path: string) => Ok(Fs.readFileSync(path, "utf8")),
+      write: () => Ok(undefined),
+    };
+    const deps = { files, operator: "matti" } as unknown as Context.Deps;
+    const opts = { config: "examples/tool.toml" };
+    const settings = ToolSettings.readToolSettings(opts, deps).unwrap();
+    expect(settings.peers.length).toBe(3);
+  });
 });
