--- a/src/result_codes.ts
+++ b/src/result_codes.ts
@@ -371,6 +371,13 @@
     "Not every instance confirmed",
     "See which ones, and check them",
   ),
+  toolFile: code(
+    604,
+    "tool-file",
+    0,
+    "A file cannot be read or written",
+    "Check the path and its permissions",
+  ),
 } as const satisfies Readonly<Record<string, CodeInfo>>;
 
 /** Name of a result code. */
