--- a/testing/http_json.ts
+++ b/testing/http_json.ts
@@ -95,7 +95,8 @@
   const { host, port } = parseAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
-    server.listen(port, host, () => {
+    server.listen(port, host);
+    server.once("listening", () => {
       server.off("error", reject);
       const got = server.address() as Net.AddressInfo;
       resolve(`${host}:${got.port}`);
--- a/testing/platform/server.ts
+++ b/testing/platform/server.ts
@@ -1,11 +1,12 @@
 /** The stand-in for the platform: HTTP, faults and call counters. */
 import * as Http from "node:http";
-import type * as Net from "node:net";
 import * as Clock from "../../src/clock.ts";
 import type * as Types from "../../src/types.ts";
 import * as HttpJson from "../http_json.ts";
+import * as Listener from "../listener.ts";
 import * as Faults from "./faults.ts";
 import * as Instances from "./instances.ts";
+import * as Operation from "./operation.ts";
 import * as Operations from "./operations.ts";
 import * as Store from "./store.ts";
 
@@ -14,10 +15,6 @@
 const EXPIRY_INTERVAL_MS = 20;
 /** Longer than clients keep idle connections, so that the client closes first. */
 const KEEP_ALIVE_MS = 60_000;
-/** The port of a refused listener may be in use for a moment when it comes back. */
-const REOPEN_ATTEMPTS = 100;
-const REOPEN_INTERVAL_MS = 50;
-
 /** Options of the stand-in. */
 export interface PlatformOptions {
   readonly listen: Types.Address;
@@ -45,7 +42,6 @@
   const store = Store.createStore(clock);
   const instances = Instances.createInstanceList(clock, opts.listLagMs);
   const services = { store, instances };
-  const sockets = new Set<Net.Socket>();
   const byOp = new Map<string, number>();
   let faults = Faults.createFaults(opts.listLagMs);
   let pendingWatches = 0;
@@ -56,7 +52,7 @@
 
   /** Takes one of the answers to lose when the operation is among them. */
   function takeLostAnswer(
-    op: Operations.Operation,
+    op: Operation.Operation,
     answer: HttpJson.JsonAnswer,
   ): boolean {
     const isLost = faults.loseWrites > 0 && answer.status === 200 &&
@@ -68,7 +64,7 @@
 
   async function readCall(
     req: Http.IncomingMessage,
-  ): Promise<Operations.Parsed> {
+  ): Promise<Operation.Parsed> {
     const text = await HttpJson.readBody(req, BODY_LIMIT_BYTES);
     if (text === undefined) {
       return HttpJson.refuse(413, "value-too-large", "body");
@@ -82,7 +78,7 @@
   }
 
   async function runCounted(
-    op: Operations.Operation,
+    op: Operation.Operation,
     res: Http.ServerResponse,
   ): Promise<HttpJson.JsonAnswer> {
     const abort = new AbortController();
@@ -101,7 +97,7 @@
     if (faults.slowMs > 0) await Clock.sleep(faults.slowMs);
     // A call that finds the platform down is neither carried out nor answered.
     if (faults.availability !== "up") return;
-    if (Operations.isRefused(parsed)) {
+    if (Operation.isRefused(parsed)) {
       count("malformed");
       return HttpJson.sendJson(res, parsed);
     }
@@ -119,35 +115,12 @@
     handle(req, res).catch(() => req.socket.destroy());
   });
   server.keepAliveTimeout = KEEP_ALIVE_MS;
-  server.on("connection", (socket) => {
-    sockets.add(socket);
-    socket.once("close", () => sockets.delete(socket));
-  });
-
-  const address = await HttpJson.listen(server, opts.listen);
-
-  function dropConnections(): void {
-    for (const socket of sockets) socket.resetAndDestroy();
-  }
-
-  async function reopen(): Promise<void> {
-    for (let attempt = 1;; attempt++) {
-      try {
-        await HttpJson.listen(server, address);
-        return;
-      } catch (err) {
-        if (attempt === REOPEN_ATTEMPTS) throw err;
-        await Clock.sleep(REOPEN_INTERVAL_MS);
-      }
-    }
-  }
+  const listener = await Listener.createListener(server, opts.listen);
 
   async function setAvailability(next: Faults.Availability): Promise<void> {
-    const isOpen = server.listening;
     // Connections that wait for an answer can't be used after the outage.
-    if (next !== "hang") dropConnections();
-    if (next === "refuse" && isOpen) server.close();
-    if (next !== "refuse" && !isOpen) await reopen();
+    if (next !== "hang") listener.resetConnections();
+    await listener.setOpen(next !== "refuse");
     // The platform heard no heartbeats during its outage.
     if (next === "up") instances.renewAll();
   }
@@ -195,11 +168,11 @@
   }, EXPIRY_INTERVAL_MS);
 
   return {
-    address,
+    address: listener.address,
     control,
     async stop() {
       clearInterval(expiry);
-      dropConnections();
+      listener.resetConnections();
       controlServer.closeAllConnections();
       const closing = [server, controlServer].filter((one) => one.listening);
       await Promise.all(
