--- a/testing/target/registration.ts
+++ b/testing/target/registration.ts
@@ -8,6 +8,8 @@
 import type * as Types from "../../src/types.ts";
 
 const REFRESH_MS = 1_000;
+/** The list drops a target that died after this time. */
+const TTL_MS = 3_000;
 const CALL_TIMEOUT_MS = 2_000;
 
 /** A repeated registration. */
@@ -28,7 +30,9 @@
   const url = `http://${address}/v1/instances/${id}`;
 
   async function call(method: "PUT" | "DELETE"): Promise<void> {
-    const body = method === "PUT" ? JSON.stringify(getInstance()) : null;
+    const body = method === "PUT"
+      ? JSON.stringify({ ...getInstance(), ttlMs: TTL_MS })
+      : null;
     try {
       const res = await Undici.request(url, {
         method,
