--- a/testing/harness/process.ts
+++ b/testing/harness/process.ts
@@ -40,6 +40,8 @@
   getText(field: string): string;
   /** Last lines of standard error. */
   getLog(): readonly string[];
+  /** Last lines of standard output after the ready line. */
+  getOutput(): readonly string[];
   isRunning(): boolean;
   /** SIGKILL; resolves when the process has ended. */
   kill(): Promise<void>;
@@ -97,6 +99,7 @@
   opts: ProcessOptions,
   exited: Promise<ProcessExit>,
   getLog: () => readonly string[],
+  onOutput: (line: string) => void,
 ): Promise<HttpJson.JsonObject> {
   return new Promise((resolve, reject) => {
     const fail = (what: string) => {
@@ -113,7 +116,7 @@
     if (child.stdout === null) return fail("has no standard output");
     Readline.createInterface(child.stdout).on("line", (line) => {
       const fields = tryReady(line);
-      if (fields === undefined) return;
+      if (fields === undefined) return onOutput(line);
       clearTimeout(timer);
       resolve(fields);
     });
@@ -140,7 +143,8 @@
       resolve({ code: code ?? undefined, signal: signal ?? undefined });
     });
   });
-  const ready = await waitForReady(child, opts, exited, tail.get);
+  const output = createTail();
+  const ready = await waitForReady(child, opts, exited, tail.get, output.add);
   const isRunning = () => running.has(child);
 
   return {
@@ -153,6 +157,7 @@
       throw new Error(`${opts.name} has no ${field} in its ready line`);
     },
     getLog: tail.get,
+    getOutput: output.get,
     isRunning,
     async kill() {
       child.kill("SIGKILL");
--- a/tests/platform_test.ts
+++ b/tests/platform_test.ts
@@ -5,6 +5,7 @@
 import * as Clock from "../src/clock.ts";
 import * as Client from "../src/platform/client.ts";
 import * as ResultCodes from "../src/result_codes.ts";
+import * as FaultProxy from "../testing/fault_proxy/proxy.ts";
 import * as Platform from "../testing/harness/platform.ts";
 import * as Process from "../testing/harness/process.ts";
 import * as Registration from "../testing/platform/registration.ts";
@@ -281,6 +282,55 @@
   });
 });
 
+describe("behind a broken link", () => {
+  it("guards against a write applied twice or called conflicting when answers break at any byte", async () => {
+    const proxy = await FaultProxy.createFaultProxy({
+      target: platform.address,
+    });
+    const behind = Client.createPlatformClient({
+      address: proxy.address,
+      timeoutMs: 200,
+    });
+    const key = newKey();
+    const first = (await client.cas(key, 0, "0", { writeId: "0" })).unwrap();
+    let known = { version: first, value: "0" };
+    let writes = 0;
+    const fault = fc.record({
+      way: fc.constantFrom("toTarget", "toClient"),
+      truncateAfterBytes: fc.integer({ min: 0, max: 500 }),
+      truncateBy: fc.constantFrom("close", "reset"),
+    });
+    const lastsMs = fc.constantFrom(50, 1_000);
+    const outcomes: string[] = [];
+    await fc.assert(
+      fc.asyncProperty(fault, lastsMs, async ({ way, ...faults }, ms) => {
+        await proxy.setFaults({ [way]: faults });
+        const value = String(++writes);
+        const writing = behind.cas(key, known.version, value, {
+          writeId: value,
+        });
+        await Promise.race([writing, Clock.sleep(ms)]);
+        await proxy.heal();
+        const res = await writing;
+        outcomes.push(getCode(res));
+        // Resets the connections, so that no late copy of the write arrives.
+        proxy.resetConnections();
+        const entry = (await client.get(key)).unwrap();
+        const isWritten = entry?.value === value;
+        expect(isWritten || entry?.value === known.value).toBe(true);
+        if (res.isOk()) expect(entry?.version).toBe(res.unwrap());
+        if (res.isOk()) expect(isWritten).toBe(true);
+        else expect(getCode(res)).toBe("store-write-unknown");
+        if (entry !== undefined) known = entry;
+      }),
+      { numRuns: 60, endOnFailure: true },
+    );
+    expect(new Set(outcomes)).toEqual(new Set(["ok", "store-write-unknown"]));
+    await behind.close();
+    await proxy.stop();
+  });
+});
+
 describe("outages", () => {
   it.each(["refuse", "hang"] as const)(
     "guards against calls that do not end within their time-out (%s)",
