Send membership as changes, rank links by pair and measure heartbeats

Cause: a node of a fleet of 620 has 8 KB/s for the whole control plane; whole member lists and links that only one end chose took more than that.

Change: members.list with a version answers changes and ages; links to other domains are ranked by the pair of ids, so that two members often share one; a heartbeat's stamps are small numbers; addresses of unknown owners are tried later when there are many peers; an answer that can't be encoded becomes an error instead of an unhandled rejection.

--- a/src/config/config_store.ts
+++ b/src/config/config_store.ts
@@ -18,7 +18,7 @@
  * Withdrawals that the stored record does not have are repeated this often, for
  * peers that a partition kept from hearing them.
  */
-const WITHDRAWN_REPEAT_MS = 5_000;
+const WITHDRAWN_REPEAT_MS = 2_000;
 /** Digests in one message: 16,000 of 64 characters are about 1 MB. */
 const MAX_WITHDRAWN_PER_MESSAGE = 16_000;
 
--- a/src/peer/connection.ts
+++ b/src/peer/connection.ts
@@ -51,6 +51,18 @@
   return Buffer.byteLength(line) > Wire.MAX_LINE_BYTES;
 }
 
+/** One line; an answer that can't be sent becomes an error, so that the caller does not wait. */
+function formatResponse(res: JsonRpc.JSONRPCResponse): string {
+  const formatError = (code: number, message: string) =>
+    JSON.stringify(JsonRpc.createJSONRPCErrorResponse(res.id, code, message));
+  try {
+    const line = JSON.stringify(res);
+    return isTooLong(line) ? formatError(CODE_TOO_LONG, "") : line;
+  } catch (err) {
+    return formatError(JsonRpc.JSONRPCErrorCode.InternalError, String(err));
+  }
+}
+
 function toFailure(method: string, err: unknown, isClosed: boolean) {
   if (!(err instanceof JsonRpc.JSONRPCErrorException)) {
     return ResultCodes.fail("peerError", `${method}: ${String(err)}`);
@@ -96,15 +108,7 @@
     pending++;
     const res = await server.receive(request, connection);
     pending--;
-    if (res === null) return;
-    const line = JSON.stringify(res);
-    if (!isTooLong(line)) return void socket.write(line);
-    const tooLong = JsonRpc.createJSONRPCErrorResponse(
-      res.id,
-      CODE_TOO_LONG,
-      "answer over 2 MB",
-    );
-    socket.write(JSON.stringify(tooLong));
+    if (res !== null) socket.write(formatResponse(res));
   }
 
   function countSilentTick(): number {
--- a/src/peer/dialer.ts
+++ b/src/peer/dialer.ts
@@ -18,6 +18,12 @@
 /** An idle task looks again after this time, should it have missed a wake-up. */
 const RECHECK_MS = 10_000;
 const LOG_INTERVAL_MS = 60_000;
+/**
+ * Longest wait before an address is tried whose owner is unknown, when there are
+ * many peers already. They usually name the owner before, and a large fleet
+ * would otherwise connect everyone to everyone once.
+ */
+const UNKNOWN_OWNER_DELAY_MS = 60_000;
 
 /** How the last attempt to connect to an address ended. */
 export interface Attempt {
@@ -61,6 +67,7 @@
   readonly isWanted: (id: Types.InstanceId) => boolean;
   /** True when the instance is known to use another address, or forgotten. */
   readonly isMoved: (id: Types.InstanceId, address: Types.Address) => boolean;
+  readonly hasManyPeers: () => boolean;
   readonly seeds: readonly Types.Address[];
   readonly tasks: Tasks.TaskGroup;
   readonly notifier: Tasks.Notifier;
@@ -137,6 +144,9 @@
     signal: AbortSignal,
   ): Promise<void> {
     let backoffMs = BACKOFF_MIN_MS;
+    if (record.owner === undefined && !record.isSeed && args.hasManyPeers()) {
+      await ClockModule.sleep(Math.random() * UNKNOWN_OWNER_DELAY_MS, signal);
+    }
     while (!signal.aborted && !isObsolete(record)) {
       if (record.owner !== undefined && !args.isWanted(record.owner)) {
         backoffMs = BACKOFF_MIN_MS;
--- a/src/peer/discovery.ts
+++ b/src/peer/discovery.ts
@@ -1,20 +1,21 @@
 /** Learns of members that are not connected, by asking connected ones. */
 import type * as Clock from "../clock.ts";
 import type * as Supervisor from "../supervisor.ts";
+import * as Rendezvous from "../rendezvous.ts";
+import type * as Types from "../types.ts";
 import type * as Connection from "./connection.ts";
+import * as Listing from "./listing.ts";
 import * as Mesh from "./mesh.ts";
 
 const CHECK_MS = 250;
 const CALL_TIMEOUT_MS = 3_000;
-/** Rounds right after the start; later ones are for changes that heartbeats missed. */
-const FIRST_ROUNDS = 3;
-const FIRST_ROUND_INTERVAL_MS = 1_000;
+/** The first rounds follow each other quickly; the time between them doubles. */
+const FIRST_INTERVAL_MS = 500;
 const ROUND_INTERVAL_MS = 30_000;
-/**
- * In a large fleet an answer has some 200 KB, which each two minutes takes
- * 1.7 KB/s of the 8 KB/s that a node may use.
- */
+/** With 620 members the ages alone take some 15 KB an answer. */
 const LARGE_ROUND_INTERVAL_MS = 120_000;
+/** Peers that are asked in turn; few, as only the first answer of each is long. */
+const ASKED_PEERS = 2;
 
 /** Starts the periodic `members.list` calls. */
 export function start(args: {
@@ -22,30 +23,52 @@
   readonly clock: Clock.Clock;
   readonly getConnections: () => readonly Connection.Connection[];
   readonly getMemberCount: () => number;
-  readonly takeList: (raw: unknown, askedAtMs: number) => void;
+  readonly self: Types.InstanceId;
+  readonly take: (changes: Listing.Changes, askedAtMs: number) => void;
 }): void {
   const { clock } = args;
-  let rounds = 0;
+  let intervalMs = FIRST_INTERVAL_MS;
   let nextAtMs = 0;
+  let rounds = 0;
+  const versions = new Map<
+    Types.InstanceId,
+    { readonly incarnation: string; readonly version: number }
+  >();
 
-  function getIntervalMs(): number {
-    if (rounds < FIRST_ROUNDS) return FIRST_ROUND_INTERVAL_MS;
+  function lengthenInterval(): void {
     const isLarge = args.getMemberCount() > Mesh.FULL_MESH_MEMBERS;
-    return isLarge ? LARGE_ROUND_INTERVAL_MS : ROUND_INTERVAL_MS;
+    const maxMs = isLarge ? LARGE_ROUND_INTERVAL_MS : ROUND_INTERVAL_MS;
+    intervalMs = Math.min(intervalMs * 2, maxMs);
+  }
+
+  /** Peers are ranked differently by each instance, which spreads the load. */
+  function tryChoosePeer(): Connection.Connection | undefined {
+    const connections = args.getConnections();
+    const ids = connections.map((conn) => conn.remote.id);
+    const ranked = Rendezvous.rank(`discovery ${args.self}`, ids);
+    const count = Math.min(ASKED_PEERS, ranked.length);
+    const id = ranked[rounds % count];
+    return connections.find((conn) => conn.remote.id === id);
   }
 
   async function ask(): Promise<void> {
     if (clock.nowMs() < nextAtMs) return;
-    const connections = args.getConnections();
-    const conn = connections[Math.floor(Math.random() * connections.length)];
+    const conn = tryChoosePeer();
     if (conn === undefined) return;
+    rounds++;
+    const { id, incarnation } = conn.remote;
+    const last = versions.get(id);
+    const isSameRun = last?.incarnation === incarnation;
+    const params = { version: isSameRun ? last.version : 0 };
     const askedAtMs = clock.nowMs();
-    const list = await conn.call("members.list", {}, CALL_TIMEOUT_MS);
-    if (list.isOk()) {
-      rounds++;
-      args.takeList(list.value, askedAtMs);
+    const res = await conn.call("members.list", params, CALL_TIMEOUT_MS);
+    const changes = res.isOk() ? Listing.tryReadChanges(res.value) : undefined;
+    if (changes !== undefined) {
+      versions.set(id, { incarnation, version: changes.version });
+      args.take(changes, askedAtMs);
+      lengthenInterval();
     }
-    nextAtMs = clock.nowMs() + getIntervalMs() * (0.5 + Math.random());
+    nextAtMs = clock.nowMs() + intervalMs * (0.5 + Math.random());
   }
 
   args.supervisor.every("peer-discovery", CHECK_MS, ask);
--- a/src/peer/heartbeat.ts
+++ b/src/peer/heartbeat.ts
@@ -2,9 +2,8 @@
  * Encoding of heartbeats on one connection.
  *
  * The parameters are `[t, echo, heldMs, storeSeenMsAgo, relayedStoreSeenMsAgo,
- * load, rare?]`. `t` is the sender's time in ms since it opened the connection;
- * `echo` is the last `t` that it received (-1: none yet), and `heldMs` the time
- * since then. `rare` holds the other fields that changed since the previous
+ * load, rare?]`. `t` numbers the sender's heartbeats, modulo 1000; `echo` is the
+ * last `t` that it received (-1: none yet), and `heldMs` the time since then. `rare` holds the other fields that changed since the previous
  * heartbeat, as most never change and 620 nodes have 8 KB/s each.
  *
  * The echo bounds a heartbeat's age on the receiver's clock: it was sent no
@@ -17,7 +16,10 @@
 /** Ages are cut off here, as JSON has no infinity; about 11 days. */
 export const MAX_AGE_MS = 1e9;
 
-const FIRST_RARE_INDEX = 6;
+const RARE_INDEX = 6;
+const STAMPS = 1_000;
+/** Own stamps whose sending time is kept; an older echo counts as none. */
+const MAX_KEPT_STAMPS = 64;
 const STATES: readonly unknown[] = ["starting", "live", "leaving"];
 
 /** Parameters of the `heartbeat` notification. */
@@ -91,9 +93,27 @@
 ): Codec {
   const sent = new Map<string, string>();
   let received: RareFields | undefined;
+  const stampSentAtMs = new Map<number, number>();
+  let nextStamp = 0;
   let lastStamp = -1;
   let lastStampAtMs = 0;
 
+  function takeStamp(nowMs: number): number {
+    const stamp = nextStamp;
+    nextStamp = (nextStamp + 1) % STAMPS;
+    stampSentAtMs.set(stamp, nowMs);
+    stampSentAtMs.delete((stamp + STAMPS - MAX_KEPT_STAMPS) % STAMPS);
+    return stamp;
+  }
+
+  /** Earliest time at which a heartbeat with this echo can have been sent. */
+  function boundSentAt(echo: number, heldMs: number, nowMs: number): number {
+    const echoedAtMs = stampSentAtMs.get(echo);
+    if (echoedAtMs === undefined) return openedAtMs;
+    // A peer that claims to have held longer than possible is not from the future.
+    return Math.min(nowMs, echoedAtMs + heldMs);
+  }
+
   function isFromRemote(heartbeat: Types.Heartbeat): boolean {
     return heartbeat.id === remote.id &&
       heartbeat.incarnation === remote.incarnation;
@@ -106,7 +126,7 @@
       const changed = getChanged(rare, sent);
       for (const [name, , text] of changed) sent.set(name, text);
       const params = [
-        Math.floor(nowMs - openedAtMs),
+        takeStamp(nowMs),
         lastStamp,
         lastStamp < 0 ? 0 : Math.floor(nowMs - lastStampAtMs),
         encodeAge(storeSeenMsAgo),
@@ -122,7 +142,7 @@
       if (![stamp, heldMs].every(isCount) || typeof echo !== "number") {
         return undefined;
       }
-      const rare = params[FIRST_RARE_INDEX];
+      const rare = params[RARE_INDEX];
       const heartbeat = tryReadHeartbeat({
         ...received,
         ...(Wire.isObject(rare) ? rare : {}),
@@ -134,9 +154,7 @@
       received = heartbeat;
       lastStamp = stamp;
       lastStampAtMs = nowMs;
-      const sinceOpenMs = echo < 0 ? 0 : echo + heldMs;
-      // A peer that claims more than is possible must not look younger than now.
-      const sentAtMs = Math.min(nowMs, openedAtMs + sinceOpenMs);
+      const sentAtMs = boundSentAt(echo, heldMs, nowMs);
       return { heartbeat, sentAtMs };
     },
   };
--- a/src/peer/members.ts
+++ b/src/peer/members.ts
@@ -1,8 +1,8 @@
 /** Members of the fleet as this instance knows them. */
 import type * as Clock from "../clock.ts";
 import type * as Types from "../types.ts";
-import * as Heartbeat from "./heartbeat.ts";
-import * as Wire from "./wire.ts";
+import type * as Heartbeat from "./heartbeat.ts";
+import type * as Listing from "./listing.ts";
 
 /** A peer is unreachable after this time without a heartbeat. */
 export const UNREACHABLE_AFTER_MS = 3_000;
@@ -26,55 +26,20 @@
   readonly wasReachable: boolean;
 }
 
-/** One member in the answer of `members.list`. */
-export interface ListedMember {
-  readonly heartbeat: Types.Heartbeat;
-  readonly ageMs: number;
-  readonly isReachable: boolean;
-}
-
 /** Table of members. */
 export interface Members {
   noteHeartbeat(received: Heartbeat.Received): void;
   /** Takes an answer of `members.list`, asked for at `askedAtMs`; returns the members that were new or changed address. */
-  noteList(raw: unknown, askedAtMs: number): readonly Types.Heartbeat[];
+  noteChanges(
+    changes: Listing.Changes,
+    askedAtMs: number,
+  ): readonly Types.Heartbeat[];
   tryGet(id: Types.InstanceId): Types.Member | undefined;
   getAll(): readonly Types.Member[];
-  isDirect(id: Types.InstanceId): boolean;
   /** Drops members that are long gone; `hasEnded` tells whose process has ended. */
   forget(hasEnded: (id: Types.InstanceId) => boolean): void;
 }
 
-/** Answer of `members.list`. */
-export function encodeList(
-  self: Types.Heartbeat,
-  members: readonly Types.Member[],
-): readonly ListedMember[] {
-  const all = [{ heartbeat: self, ageMs: 0, isReachable: true }, ...members];
-  return all.map(({ heartbeat, ageMs, isReachable }) => ({
-    heartbeat: {
-      ...heartbeat,
-      storeSeenMsAgo: Heartbeat.encodeAge(heartbeat.storeSeenMsAgo),
-      relayedStoreSeenMsAgo: Heartbeat.encodeAge(
-        heartbeat.relayedStoreSeenMsAgo,
-      ),
-    },
-    ageMs: Heartbeat.encodeAge(ageMs),
-    isReachable,
-  }));
-}
-
-function tryReadListed(raw: unknown): ListedMember | undefined {
-  if (!Wire.isObject(raw)) return undefined;
-  const { ageMs, isReachable } = raw;
-  const heartbeat = Heartbeat.tryReadHeartbeat(raw.heartbeat);
-  if (heartbeat === undefined || typeof isReachable !== "boolean") {
-    return undefined;
-  }
-  if (typeof ageMs !== "number" || !(ageMs >= 0)) return undefined;
-  return { heartbeat, ageMs, isReachable };
-}
-
 /** Creates an empty table. `isMeshed` tells which members this instance connects to by itself. */
 export function createMembers(
   self: Types.InstanceId,
@@ -97,7 +62,7 @@
   }
 
   /** True when a relayed heartbeat says more than what is known already. */
-  function isNews(listed: ListedMember, sentAtMs: number): boolean {
+  function isNews(listed: Listing.ListedMember, sentAtMs: number): boolean {
     const { id } = listed.heartbeat;
     const known = records.get(id);
     if (id === self) return false;
@@ -110,7 +75,7 @@
   }
 
   function noteListed(
-    listed: ListedMember,
+    listed: Listing.ListedMember,
     askedAtMs: number,
   ): Types.Heartbeat | undefined {
     const { heartbeat } = listed;
@@ -127,6 +92,23 @@
     return isMoved ? heartbeat : undefined;
   }
 
+  /** A relaying peer still reaches the member. */
+  function noteAge(id: Types.InstanceId, sentAtMs: number): void {
+    const known = records.get(id);
+    if (known === undefined || sentAtMs <= known.sentAtMs) return;
+    const ageMs = clock.nowMs() - known.sentAtMs;
+    if (known.isDirect && ageMs < UNREACHABLE_AFTER_MS) return;
+    // The ages inside the heartbeat are as old as the heartbeat itself.
+    const aged = sentAtMs - known.sentAtMs;
+    const heartbeat = {
+      ...known.heartbeat,
+      storeSeenMsAgo: known.heartbeat.storeSeenMsAgo + aged,
+      relayedStoreSeenMsAgo: known.heartbeat.relayedStoreSeenMsAgo + aged,
+    };
+    const isDirect = false;
+    records.set(id, { heartbeat, sentAtMs, isDirect, wasReachable: true });
+  }
+
   return {
     noteHeartbeat({ heartbeat, sentAtMs }) {
       records.set(heartbeat.id, {
@@ -136,11 +118,11 @@
         wasReachable: true,
       });
     },
-    noteList(raw, askedAtMs) {
-      if (!Array.isArray(raw)) return [];
-      return raw
-        .map(tryReadListed)
-        .filter((one) => one !== undefined)
+    noteChanges(changes, askedAtMs) {
+      for (const [id, ageMs] of Object.entries(changes.ages)) {
+        noteAge(id, askedAtMs - ageMs);
+      }
+      return changes.members
         .map((one) => noteListed(one, askedAtMs))
         .filter((one) => one !== undefined);
     },
@@ -149,7 +131,6 @@
       return record === undefined ? undefined : toMember(record);
     },
     getAll: () => [...records.values()].map(toMember),
-    isDirect: (id) => records.get(id)?.isDirect === true,
     forget(hasEnded) {
       for (const [id, record] of records) {
         const ageMs = clock.nowMs() - record.sentAtMs;
--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -43,6 +43,22 @@
   return selected;
 }
 
+/**
+ * Links are ranked by the pair of ids, so that two members often choose each
+ * other and share one connection.
+ */
+function rankLinks(
+  selfId: Types.InstanceId,
+  group: readonly MeshMember[],
+): readonly Types.InstanceId[] {
+  const idOf = new Map(
+    group.map(({ id }) => [[selfId, id].toSorted().join(" "), id] as const),
+  );
+  return Rendezvous.rank("link", [...idOf.keys()])
+    .map((pair) => idOf.get(pair))
+    .filter((id) => id !== undefined);
+}
+
 function pickLinks(
   selfId: Types.InstanceId,
   group: readonly MeshMember[],
@@ -50,7 +66,7 @@
   const usable = new Set(
     group.filter((one) => one.isUsable).map((one) => one.id),
   );
-  const ranked = Rendezvous.rank(selfId, group.map((one) => one.id));
+  const ranked = rankLinks(selfId, group);
   return [
     ...ranked.slice(0, LINKS_PER_OTHER_DOMAIN),
     ...ranked.filter((id) => usable.has(id)).slice(0, LINKS_PER_OTHER_DOMAIN),
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -11,6 +11,7 @@
 import * as Discovery from "./discovery.ts";
 import type * as Handshake from "./handshake.ts";
 import * as Heartbeat from "./heartbeat.ts";
+import * as Listing from "./listing.ts";
 import * as Listener from "./listener.ts";
 import * as Members from "./members.ts";
 import * as Mesh from "./mesh.ts";
@@ -65,6 +66,7 @@
   const tasks = Tasks.createTaskGroup(log);
   const changes = Tasks.createNotifier();
   const registry = Registry.createRegistry(self, incarnation, log);
+  const listing = Listing.createListing();
   const codecs = new WeakMap<Connection.Connection, Heartbeat.Codec>();
   const tools = new Set<Connection.Connection>();
   const listeners: ((heartbeat: Types.Heartbeat) => void)[] = [];
@@ -92,6 +94,7 @@
     isWanted,
     isMoved: (id, address) =>
       members.tryGet(id)?.heartbeat.peerAddress !== address,
+    hasManyPeers: () => registry.getChosen().length >= Mesh.FULL_MESH_MEMBERS,
     seeds: args.seeds,
     tasks,
     notifier: changes,
@@ -170,13 +173,25 @@
     const before = members.tryGet(heartbeat.id);
     members.noteHeartbeat(received);
     const isMoved = before?.heartbeat.peerAddress !== heartbeat.peerAddress;
-    if (isMoved) learnAddress(heartbeat);
-    for (const fn of listeners) fn(heartbeat);
+    if (isMoved) learnAddresses([heartbeat]);
+    for (const fn of listeners) tell(fn, heartbeat);
   }
 
-  function learnAddress(heartbeat: Types.Heartbeat): void {
-    updateMesh();
-    dialer.add(heartbeat.peerAddress, heartbeat.id);
+  /** A listener that throws must not keep the others from the heartbeat. */
+  function tell(
+    fn: (heartbeat: Types.Heartbeat) => void,
+    heartbeat: Types.Heartbeat,
+  ): void {
+    try {
+      fn(heartbeat);
+    } catch (err) {
+      log.error("heartbeat-listener-failed", { err: String(err) });
+    }
+  }
+
+  function learnAddresses(heartbeats: readonly Types.Heartbeat[]): void {
+    if (heartbeats.length > 0) updateMesh();
+    for (const one of heartbeats) dialer.add(one.peerAddress, one.id);
   }
 
   function updateMesh(): void {
@@ -226,7 +241,7 @@
   server.addMethod("heartbeat", (p, conn) => receiveHeartbeat(p, conn));
   server.addMethod(
     "members.list",
-    () => Members.encodeList(args.getHeartbeat(), members.getAll()),
+    (params) => listing.answer(params, args.getHeartbeat(), members.getAll()),
   );
 
   return {
@@ -263,8 +278,9 @@
         clock,
         getConnections: registry.getChosen,
         getMemberCount: () => members.getAll().length + 1,
-        takeList: (raw, askedAtMs) =>
-          members.noteList(raw, askedAtMs).forEach(learnAddress),
+        self,
+        take: (changes, askedAtMs) =>
+          learnAddresses(members.noteChanges(changes, askedAtMs)),
       });
       args.supervisor.run("peer-net", async (signal) => {
         if (!signal.aborted) {
--- a/src/peer/registry.ts
+++ b/src/peer/registry.ts
@@ -65,6 +65,10 @@
   function dropOldIncarnations(conn: Connection.Connection): void {
     for (const old of byId.get(conn.remote.id) ?? []) {
       if (old.remote.incarnation === conn.remote.incarnation) continue;
+      log.warn("peer-replaced", {
+        peer: old.remote.id,
+        incarnation: conn.remote.incarnation,
+      });
       old.close("replaced by a new incarnation");
       remove(old);
     }
--- /dev/null
+++ b/testing/bench/heartbeats.ts
@@ -0,0 +1,136 @@
+/** Traffic and CPU of heartbeats between light peers in one process. */
+import * as Clock from "../../src/clock.ts";
+import * as Log from "../../src/log.ts";
+import * as Net from "../../src/peer/net.ts";
+import * as Supervisor from "../../src/supervisor.ts";
+import type * as Types from "../../src/types.ts";
+
+const SIZES = [4, 16, 64] as const;
+const DOMAINS = 6;
+const SAMPLES = 5;
+const SAMPLE_MS = 1_000;
+/** Connecting and the first rounds of discovery are not measured. */
+const SETTLE_TIMEOUT_MS = 6_000;
+const SETTLE_MS = 3_000;
+
+interface LightPeer {
+  readonly net: Net.Net;
+  readonly address: Types.Address;
+  readonly supervisor: Supervisor.Supervisor;
+}
+
+async function startPeer(
+  index: number,
+  seeds: readonly Types.Address[],
+  log: Log.Logger,
+): Promise<LightPeer> {
+  const id = `entry-${index}`;
+  const domain = `region-${index % DOMAINS}`;
+  const supervisor = Supervisor.createSupervisor(id, log);
+  let peerAddress = "127.0.0.1:0";
+  const net = Net.createPeerNet({
+    self: id,
+    incarnation: `${id}-0123456789abcdef`,
+    domain,
+    listen: "127.0.0.1:0",
+    seeds,
+    secret: "bench-secret-0123456789",
+    // Ages and load change with each heartbeat, as in a running instance.
+    getHeartbeat: () => ({
+      id,
+      incarnation: `${id}-0123456789abcdef`,
+      domain,
+      region: domain,
+      state: "live",
+      tableRevision: 12,
+      keysRevision: 7,
+      storeSeenMsAgo: Math.random() * 3_000,
+      relayedStoreSeenMsAgo: Math.random() * 1_500,
+      load: Math.random(),
+      shards: [index % 8],
+      callerAddress: "10.0.0.1:8080",
+      peerAddress,
+    }),
+    supervisor,
+    log,
+    clock: Clock.systemClock,
+  });
+  peerAddress = await net.listen();
+  return { net, address: peerAddress, supervisor };
+}
+
+async function waitConnected(peers: readonly LightPeer[]): Promise<void> {
+  const deadline = performance.now() + SETTLE_TIMEOUT_MS;
+  const isSettled = () =>
+    peers.every(({ net }) =>
+      net.getMembers().filter((m) => m.isReachable).length === peers.length - 1
+    );
+  while (!isSettled() && performance.now() < deadline) {
+    await Clock.sleep(50);
+  }
+  await Clock.sleep(SETTLE_MS);
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+/** Bytes per second sent by all peers together, one value per sample. */
+async function sampleBytes(
+  peers: readonly LightPeer[],
+): Promise<readonly number[]> {
+  const getBytes = () => sum(peers.map(({ net }) => net.getBytes().sent));
+  const samples: number[] = [];
+  for (let i = 0; i < SAMPLES; i++) {
+    const startedAt = performance.now();
+    const before = getBytes();
+    await Clock.sleep(SAMPLE_MS);
+    const seconds = (performance.now() - startedAt) / 1_000;
+    samples.push((getBytes() - before) / seconds);
+  }
+  return samples;
+}
+
+/** Measures one size and prints one line. */
+async function measure(size: number): Promise<void> {
+  const log = Log.createLogger("error", { bench: "heartbeats" });
+  const first = await startPeer(0, [], log);
+  const peers = [first];
+  for (let i = 1; i < size; i++) {
+    peers.push(await startPeer(i, [first.address], log));
+  }
+  await waitConnected(peers);
+  const startedAt = performance.now();
+  const cpuBefore = process.cpuUsage();
+  const samples = await sampleBytes(peers);
+  const seconds = (performance.now() - startedAt) / 1_000;
+  const cpu = process.cpuUsage(cpuBefore);
+  const cpuSeconds = (cpu.user + cpu.system) / 1e6;
+  const connections = sum(peers.map(({ net }) => net.getConnectedCount()));
+  const reachable = sum(
+    peers.map(({ net }) =>
+      net.getMembers().filter((m) => m.isReachable).length
+    ),
+  );
+  // The least sample has no answer of `members.list`, which come rarely.
+  const heartbeatsPerS = Math.min(...samples);
+  const line = {
+    bench: "heartbeats",
+    peers: size,
+    seconds: seconds.toFixed(1),
+    connectionsPerPeer: (connections / size).toFixed(1),
+    reachablePerPeer: (reachable / size).toFixed(1),
+    meanSentBytesPerSPerPeer: (sum(samples) / SAMPLES / size).toFixed(0),
+    leastSentBytesPerSPerPeer: (heartbeatsPerS / size).toFixed(0),
+    leastSentBytesPerSPerConnection: (heartbeatsPerS / connections).toFixed(1),
+    cpuPercentPerPeer: (cpuSeconds / seconds / size * 100).toFixed(3),
+    rssMb: (process.memoryUsage().rss / 1e6).toFixed(0),
+  };
+  process.stdout.write(`${Log.formatFields(line)}\n`);
+  await Promise.all(peers.map(({ supervisor }) => supervisor.stop()));
+}
+
+/** Prints one line per fleet size; takes below 40 s. */
+export async function run(): Promise<void> {
+  for (const size of SIZES) await measure(size);
+}
--- a/tests/peer_test.ts
+++ b/tests/peer_test.ts
@@ -4,9 +4,12 @@
 import * as Client from "../src/peer/client.ts";
 import * as Handshake from "../src/peer/handshake.ts";
 import * as Heartbeat from "../src/peer/heartbeat.ts";
+import * as Listing from "../src/peer/listing.ts";
+import * as Members from "../src/peer/members.ts";
 import * as Mesh from "../src/peer/mesh.ts";
 import * as Wire from "../src/peer/wire.ts";
 import * as Rendezvous from "../src/rendezvous.ts";
+import type * as Types from "../src/types.ts";
 import * as Helpers from "./peer_helpers.ts";
 
 const WAIT = { timeout: 15_000, interval: 20 };
@@ -447,6 +450,74 @@
   });
 });
 
+describe("membership", () => {
+  function createCase(isMeshed: boolean) {
+    const state = { nowMs: 10_000 };
+    const clock = { nowMs: () => state.nowMs, wallMs: () => 0 };
+    const members = Members.createMembers("a", () => isMeshed, clock);
+    return { state, members };
+  }
+  const toMember = (heartbeat: Types.Heartbeat, ageMs = 100) => ({
+    heartbeat,
+    ageMs,
+    isReachable: ageMs < 3_000,
+  });
+
+  it("is listed whole once, then only what changed, and refreshes ages", () => {
+    const listing = Listing.createListing();
+    const self = Helpers.createBeat("b", "d");
+    const c = Helpers.createBeat("c", "d");
+    const ask = (version: number, others: readonly Types.Member[]) => {
+      const answer = listing.answer({ version }, self, others);
+      return Listing.tryReadChanges(JSON.parse(JSON.stringify(answer)))!;
+    };
+    const first = ask(0, [toMember(c)]);
+    expect(first.members.map((m) => m.heartbeat.id)).toEqual(["b", "c"]);
+    const same = ask(first.version, [toMember({ ...c, load: 0.9 }, 200)]);
+    expect(same).toMatchObject({ members: [], ages: { b: 0, c: 200 } });
+    const gone = ask(same.version, [toMember(c, 5_000)]);
+    expect(gone.members.map((m) => m.isReachable)).toEqual([false]);
+    expect(listing.answer({}, self, [toMember(c)])).toHaveLength(2);
+
+    const { state, members } = createCase(false);
+    members.noteChanges(first, 9_000);
+    expect(members.tryGet("c")).toMatchObject({
+      ageMs: 1_100,
+      isReachable: true,
+    });
+    state.nowMs += 10_000;
+    members.noteChanges(same, 19_000);
+    expect(members.tryGet("c")).toMatchObject({
+      ageMs: 1_200,
+      isReachable: true,
+    });
+    expect(members.tryGet("c")?.heartbeat.relayedStoreSeenMsAgo).toBe(9_900);
+  });
+
+  it("does not take a member of the own mesh for reachable because others reach it", () => {
+    const { members } = createCase(true);
+    const ages = { c: 0 };
+    const listed = toMember(Helpers.createBeat("c", "d"));
+    members.noteChanges({ version: 1, members: [listed], ages: {} }, 9_900);
+    members.noteChanges({ version: 2, members: [], ages }, 9_950);
+    expect(members.tryGet("c")?.isReachable).toBe(false);
+  });
+
+  it("prefers what a member said itself, and forgets ended ones", () => {
+    const { state, members } = createCase(false);
+    const beat = Helpers.createBeat("c", "d");
+    members.noteHeartbeat({ heartbeat: beat, sentAtMs: 9_000 });
+    const old = toMember({ ...beat, incarnation: "c-run0" }, 0);
+    members.noteChanges({ version: 1, members: [old], ages: {} }, 9_990);
+    expect(members.tryGet("c")?.heartbeat.incarnation).toBe("c-run1");
+    state.nowMs += 600_000;
+    members.forget(() => false);
+    expect(members.tryGet("c")?.isReachable).toBe(false);
+    members.forget(() => true);
+    expect(members.tryGet("c")).toBeUndefined();
+  });
+});
+
 describe("topology", () => {
   const createMembers = (domains: number, each: number) =>
     Array.from({ length: domains * each }, (_, i) => ({
