--- a/src/cli/key_withdraw.ts
+++ b/src/cli/key_withdraw.ts
@@ -64,6 +64,12 @@
   ctx: Context.Context,
   params: Rollout.ConfigPush,
 ): Promise<Result<readonly Confirmation[], ResultCodes.Failure>> {
+  // Instances pass withdrawn digests on, so one given peer that answers is
+  // enough to start, while another may keep the discovery waiting.
+  const { peers, secret, timeoutMs } = ctx.settings;
+  for (const address of secret === undefined ? [] : peers) {
+    void ctx.getPeer(address).call("config.push", params, timeoutMs);
+  }
   const fleet = await Fleet.discover(ctx);
   if (fleet.isErr()) return fleet;
   const answers = await Fleet.callAll(ctx, fleet.value, "config.push", params);
@@ -143,38 +149,62 @@
     return ctx.deps.files.read(opts.keyFile)
       .map((text) => KeyCommands.getDigest(text.trim()));
   }
-  const record = await findRecord(ctx, platform);
-  if (record.isErr()) return record;
-  const entry = Object.values(record.value.accounts).flat()
-    .find((key) => key.id === opts.id);
-  if (entry !== undefined) return Ok(entry.digest);
-  const detail = `no key has the id ${JSON.stringify(opts.id)}; a key that ` +
-    `was withdrawn is no longer listed`;
+  const { id } = opts;
+  const found = await tryFirst([
+    findInStore(platform, id),
+    ...ctx.settings.peers.map((address) => findAtPeer(ctx, address, id)),
+  ]);
+  if (found !== undefined) return Ok(found);
+  const detail = `no key with the id ${JSON.stringify(id)} was found in the ` +
+    `store or at the given peers; a withdrawn key is no longer listed`;
   return ResultCodes.fail("toolUsage", detail);
 }
 
-/** The keys record from the store, or from an instance while the store is down. */
-async function findRecord(
-  ctx: Context.Context,
+/** The first value that is there; undefined when all are done without one. */
+function tryFirst<T>(
+  sources: readonly Promise<T | undefined>[],
+): Promise<T | undefined> {
+  return new Promise((resolve) => {
+    const settled = sources.map((source) =>
+      source.then((value) => {
+        if (value !== undefined) resolve(value);
+      })
+    );
+    void Promise.all(settled).then(() => resolve(undefined));
+  });
+}
+
+function tryGetDigest(
+  record: Types.KeysRecord | undefined,
+  id: string | undefined,
+): string | undefined {
+  return Object.values(record?.accounts ?? {}).flat()
+    .find((key) => key.id === id)?.digest;
+}
+
+async function findInStore(
   platform: Contracts.PlatformClient,
-): Promise<Result<Types.KeysRecord, ResultCodes.Failure>> {
+  id: string | undefined,
+): Promise<string | undefined> {
   const stored = await StoreRecords.readKeys(platform);
-  if (stored.isOk()) {
-    const { record } = stored.value;
-    return Ok(record ?? { writeId: "", accounts: {}, withdrawn: [] });
-  }
-  const fleet = await Fleet.discover(ctx);
-  if (fleet.isErr()) return stored;
-  type Config = { readonly record?: unknown } | undefined;
-  const answers = await Fleet.callAll<Config>(
-    ctx,
-    fleet.value,
-    "config.get",
-    { key: "keys" },
-  );
-  for (const { result } of answers) {
-    const record = result.isOk() ? result.value?.record : undefined;
-    if (StoreRecords.isReadableKeys(record)) return Ok(record);
-  }
-  return stored;
+  return stored.isOk() ? tryGetDigest(stored.value.record, id) : undefined;
+}
+
+/** Instances have the record too; the store may be down or slow to say so. */
+async function findAtPeer(
+  ctx: Context.Context,
+  address: Types.Address,
+  id: string | undefined,
+): Promise<string | undefined> {
+  if (ctx.settings.secret === undefined) return undefined;
+  const answer = await ctx.getPeer(address)
+    .call<{ readonly record?: unknown } | undefined>(
+      "config.get",
+      { key: "keys" },
+      ctx.settings.timeoutMs,
+    );
+  const record = answer.isOk() ? answer.value?.record : undefined;
+  return StoreRecords.isReadableKeys(record)
+    ? tryGetDigest(record, id)
+    : undefined;
 }
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -59,7 +59,8 @@
   const peers = new Map<Types.Address, Context.PeerCaller>();
   const { secret = "" } = settings.value;
   const getPeer = (address: Types.Address) => {
-    const peer = peers.get(address) ?? deps.connectPeer(address, secret);
+    const peer = peers.get(address) ??
+      connectFirst(deps.connectPeer(address, secret));
     peers.set(address, peer);
     return peer;
   };
@@ -73,6 +74,20 @@
   }
 }
 
+/** Lets the first call connect alone, so that calls at the same time share its connection. */
+function connectFirst(peer: Context.PeerCaller): Context.PeerCaller {
+  let first: Promise<unknown> | undefined;
+  return {
+    async call<T>(method: string, params: unknown, timeoutMs: number) {
+      if (first !== undefined) await first;
+      const result = peer.call<T>(method, params, timeoutMs);
+      first ??= result;
+      return result;
+    },
+    close: () => peer.close(),
+  };
+}
+
 function reportFailure(
   out: Output.Output,
   err: ResultCodes.Failure,
