--- a/tests/table_test.ts
+++ b/tests/table_test.ts
@@ -5,6 +5,8 @@
 import * as Baseline from "./support/baseline.ts";
 import type * as Context from "../src/cli/context.ts";
 import * as ToolSettings from "../src/cli/tool_settings.ts";
+import * as Cells from "../src/table/cells.ts";
+import * as Columns from "../src/table/columns.ts";
 import * as Settings from "../src/settings/settings.ts";
 import * as Table from "../src/table/table.ts";
 
@@ -189,3 +191,29 @@
     expect(settings.peers.length).toBe(3);
   });
 });
+
+describe("documents", () => {
+  it("docs/table.md has every column with the range that the code checks", () => {
+    const doc = Fs.readFileSync("docs/table.md", "utf8");
+    for (const column of Columns.FIXED_COLUMNS) {
+      const row = doc.split("\n").find((line) =>
+        line.startsWith(`| \`${column}\``)
+      );
+      expect(row, column).toBeDefined();
+      if (!(column in Columns.RANGES)) continue;
+      const range = Columns.RANGES[column as keyof typeof Columns.RANGES];
+      expect(row).toContain(Cells.formatRange(range));
+    }
+  });
+
+  it("docs/settings.md has every setting that the code reads", () => {
+    const doc = Fs.readFileSync("docs/settings.md", "utf8");
+    const code = Fs.readFileSync("src/settings/settings.ts", "utf8");
+    const keys = [...code.matchAll(/r\.(?:\w+)\(\s*"([a-z_.]+)"/g)]
+      .map((match) => match[1]);
+    expect(keys.length).toBeGreaterThan(20);
+    const documented = [...doc.matchAll(/^\| `([a-z_]+\.[a-z_]+)`/gm)]
+      .map((match) => match[1]);
+    for (const key of keys) expect(documented).toContain(key);
+  });
+});
