--- a/tests/cli_test.ts
+++ b/tests/cli_test.ts
@@ -3,7 +3,6 @@
 import * as Baseline from "./support/baseline.ts";
 import * as Fake from "./support/fake_fleet.ts";
 import * as KeyCommands from "../src/cli/key_commands.ts";
-import * as Run from "../src/cli/run.ts";
 import * as Metrics from "../src/metrics/metrics.ts";
 
 const CSV = Fs.readFileSync("examples/kaksin/table.csv", "utf8");
@@ -13,31 +12,9 @@
     "booking,pirkanmaa,pirkanmaa-1 pirkanmaa-2,40,950",
   )
   .replace(",160,150,300,", ",160,150,250,");
-const TOOL = `
-[platform]
-address = "10.0.0.9:7000"
-[peers]
-addresses = ["10.0.0.1:1", "10.0.0.1:2"]
-secret = "0123456789abcdef"
-`;
-
-function createWorld() {
-  const store = Fake.createFakeStore();
-  const instances = ["a1", "b1", "c1"]
-    .map((id, index) => Fake.createFakeInstance(id, index + 1));
-  const files = new Map([["tool.toml", TOOL], ["t.csv", EDITED]]);
-  async function run(line: string) {
-    const fake = Fake.createFakeDeps(store, instances, files);
-    const exit = await Run.run(line.split(" "), fake.deps);
-    return { exit, ...fake.printed };
-  }
-  store.put("table", { writeId: "w1", by: "leena", csv: CSV });
-  return { store, instances, files, run };
-}
-
-let world: ReturnType<typeof createWorld>;
+let world: Fake.World;
 beforeEach(() => {
-  world = createWorld();
+  world = Fake.createWorld(CSV, EDITED);
 });
 
 /** Pulls, then replaces the file by the edited table. */
@@ -94,7 +71,7 @@
 
   it("resolves a lost answer, whether the write was stored or not", async () => {
     for (const fault of ["lost-after-write", "lost-before-write"] as const) {
-      world = createWorld();
+      world = Fake.createWorld(CSV, EDITED);
       await pullAndEdit();
       world.store.faults.push(fault);
       const { exit, out } = await world.run("table apply p.csv");
@@ -296,7 +273,7 @@
   });
 
   it("never prints the secret", async () => {
-    world.files.set("tool.toml", TOOL + "[other]\nx = 1\n");
+    world.files.set("tool.toml", Fake.TOOL + "[other]\nx = 1\n");
     world.files.set("short", "too-short\n");
     for (const line of ["status", "--secret-file short status"]) {
       const { out, err } = await world.run(line);
--- a/tests/support/fake_fleet.ts
+++ b/tests/support/fake_fleet.ts
@@ -1,6 +1,7 @@
 /** Fakes of the store, the instances and the terminal for tests of the tool. */
 import { Ok } from "ts-results-es";
 import type * as Context from "../../src/cli/context.ts";
+import * as Run from "../../src/cli/run.ts";
 import type * as Contracts from "../../src/contracts.ts";
 import * as ResultCodes from "../../src/result_codes.ts";
 
@@ -191,3 +192,30 @@
   };
   return { deps, printed };
 }
+
+/** Settings of the tool in a world. */
+export const TOOL = `
+[platform]
+address = "10.0.0.9:7000"
+[peers]
+addresses = ["10.0.0.1:1", "10.0.0.1:2"]
+secret = "0123456789abcdef"
+`;
+
+/** Three instances, a store that has the table `csv`, and the file t.csv with `edited`. */
+export function createWorld(csv: string, edited: string) {
+  const store = createFakeStore();
+  const instances = ["a1", "b1", "c1"]
+    .map((id, index) => createFakeInstance(id, index + 1));
+  const files = new Map([["tool.toml", TOOL], ["t.csv", edited]]);
+  async function run(line: string) {
+    const fake = createFakeDeps(store, instances, files);
+    const exit = await Run.run(line.split(" "), fake.deps);
+    return { exit, ...fake.printed };
+  }
+  store.put("table", { writeId: "w1", by: "leena", csv });
+  return { store, instances, files, run };
+}
+
+/** What `createWorld` returns. */
+export type World = ReturnType<typeof createWorld>;
