--- a/tests/support/fake_fleet.ts
+++ b/tests/support/fake_fleet.ts
@@ -1,6 +1,7 @@
 /** Fakes of the store, the instances and the terminal for tests of the tool. */
 import { Ok } from "ts-results-es";
 import type * as Context from "../../src/cli/context.ts";
+import * as Run from "../../src/cli/run.ts";
 import type * as Contracts from "../../src/contracts.ts";
 import * as ResultCodes from "../../src/result_codes.ts";
 
@@ -17,6 +18,8 @@
   const faults: WriteFault[] = [];
   const store = {
     isDown: false,
+    /** What each read waits for. */
+    held: Promise.resolve(),
     faults,
     entries,
     put(key: string, value: unknown): number {
@@ -37,7 +40,7 @@
 
   const platform = {
     get: (key: string) =>
-      Promise.resolve(store.isDown ? down() : Ok(entries.get(key))),
+      store.held.then(() => store.isDown ? down() : Ok(entries.get(key))),
     cas(key: string, expected: number, value: string) {
       if (store.isDown) return Promise.resolve(down());
       const fault = faults.shift();
@@ -52,7 +55,12 @@
       return Promise.resolve(isLost ? down() : Ok(version));
     },
   } as unknown as Contracts.PlatformClient;
-  return { ...store, platform, setDown: (to: boolean) => (store.isDown = to) };
+  return {
+    ...store,
+    platform,
+    setDown: (to: boolean) => (store.isDown = to),
+    hold: (until: Promise<void>) => (store.held = until),
+  };
 }
 
 /** One instance as the tool sees it. */
@@ -64,7 +72,8 @@
   delayCalls: number;
   tableRevision: number;
   keysRevision: number;
-  readonly withdrawn: string[];
+  /** A set, as in the instances: the tool may push a digest twice. */
+  readonly withdrawn: Set<string>;
   /** Record for `config.get`. */
   keysRecord: unknown;
   burn: unknown;
@@ -79,7 +88,7 @@
     delayCalls: 0,
     tableRevision: 1,
     keysRevision: 1,
-    withdrawn: [],
+    withdrawn: new Set(),
     keysRecord: undefined,
     burn: undefined,
   };
@@ -103,7 +112,9 @@
         ? "tableRevision"
         : "keysRevision";
       one[field] = Math.max(one[field], Number(params["revision"]));
-      one.withdrawn.push(...(params["withdrawn"] as string[] ?? []));
+      for (const digest of params["withdrawn"] as string[] ?? []) {
+        one.withdrawn.add(digest);
+      }
       return { key: params["key"], revision: one[field] };
     }
     case "config.get":
@@ -181,3 +192,30 @@
   };
   return { deps, printed };
 }
+
+/** Settings of the tool in a world. */
+export const TOOL = `
+[platform]
+address = "10.0.0.9:7000"
+[peers]
+addresses = ["10.0.0.1:1", "10.0.0.1:2"]
+secret = "0123456789abcdef"
+`;
+
+/** Three instances, a store that has the table `csv`, and the file t.csv with `edited`. */
+export function createWorld(csv: string, edited: string) {
+  const store = createFakeStore();
+  const instances = ["a1", "b1", "c1"]
+    .map((id, index) => createFakeInstance(id, index + 1));
+  const files = new Map([["tool.toml", TOOL], ["t.csv", edited]]);
+  async function run(line: string) {
+    const fake = createFakeDeps(store, instances, files);
+    const exit = await Run.run(line.split(" "), fake.deps);
+    return { exit, ...fake.printed };
+  }
+  store.put("table", { writeId: "w1", by: "leena", csv });
+  return { store, instances, files, run };
+}
+
+/** What `createWorld` returns. */
+export type World = ReturnType<typeof createWorld>;
