Show refusing instances in status, and lists in explain

Cause: a trial with three real instances showed list entries of explain on two lines each, latencies of 0 in /metrics for accounts without answers, and no sign in status of an instance that refuses with 104 or 130.

--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -20,6 +20,10 @@
   readonly members: readonly { readonly isReachable?: boolean }[];
   readonly targets: readonly { readonly state?: string }[];
   readonly budgets: readonly unknown[];
+  /** False when keyed requests are refused with code 104. */
+  readonly keysCurrent?: boolean;
+  /** False when requests are refused with code 130. */
+  readonly budgetsValid?: boolean;
 }
 
 const HEADINGS = [
@@ -98,6 +102,14 @@
 ): void {
   const rows = [HEADINGS, ...good.map(formatRow)];
   BurnText.formatColumns(rows, 3).forEach((row) => ctx.out.line(row));
+  for (const { id, keysCurrent, budgetsValid } of good) {
+    if (keysCurrent === false) {
+      ctx.out.line(`${id}: keys are not current: refuses with E104`);
+    }
+    if (budgetsValid === false) {
+      ctx.out.line(`${id}: may not spend budgets: refuses with E130`);
+    }
+  }
   for (const { id, isHeard, reason } of bad) {
     const heard = isHeard ? "its peers hear it" : "no asked peer hears it";
     ctx.out.line(`${id}: NO ANSWER (${heard}): ${reason}`);
@@ -157,17 +169,22 @@
   return last!;
 }
 
-/** Writes JSON as indented `name: value` lines. */
+/** Writes JSON as indented `name: value` lines; the parts of a list start with `-`. */
 export function formatTree(value: unknown, indent: string): readonly string[] {
   if (typeof value !== "object" || value === null) {
     return [`${indent}${formatLeaf(value)}`];
   }
+  if (Array.isArray(value)) {
+    return value.flatMap((child) => {
+      const [first = "", ...rest] = formatTree(child, `${indent}  `);
+      return [`${indent}- ${first.slice(indent.length + 2)}`, ...rest];
+    });
+  }
   return Object.entries(value).flatMap(([key, child]) => {
-    const name = Array.isArray(value) ? "-" : `${key}:`;
     const isLeaf = typeof child !== "object" || child === null;
-    if (isLeaf) return [`${indent}${name} ${formatLeaf(child)}`];
-    if (Object.keys(child).length === 0) return [`${indent}${name} none`];
-    return [`${indent}${name}`, ...formatTree(child, `${indent}  `)];
+    if (isLeaf) return [`${indent}${key}: ${formatLeaf(child)}`];
+    if (Object.keys(child).length === 0) return [`${indent}${key}: none`];
+    return [`${indent}${key}:`, ...formatTree(child, `${indent}  `)];
   });
 }
 
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -177,6 +177,8 @@
   const name = "anvilroute_latency_seconds";
   out.family(name, "summary", "Latency of answered requests, last 5-10 min");
   for (const { service, account, latency } of all) {
+    // Without answers the quantiles would read as a latency of 0.
+    if (latency.getTotal().count === 0) continue;
     const values = latency.getQuantiles(wallMs, QUANTILES);
     QUANTILES.forEach((quantile, index) => {
       const labels = { service, account, quantile: String(quantile) };
