Log failed fetches, test sparse meshes and readers of the wire

Cause: a record that peers could not send kept instances behind until their next read of the store, without a log line.

Change: failed fetches are logged at most every 10 s; tests call a member outside the own mesh of 28 instances, and feed arbitrary values to what reads peers' messages.

--- a/src/config/config_store.ts
+++ b/src/config/config_store.ts
@@ -140,6 +140,8 @@
     peers,
     domain: cfg.domain,
     supervisor,
+    log: args.log,
+    clock: args.clock,
     isWatcher,
     isNeeded: holder.isNeeded,
     take: (key, versioned, from) => void apply(key, versioned, `peer ${from}`),
--- a/src/config/fetcher.ts
+++ b/src/config/fetcher.ts
@@ -1,7 +1,9 @@
 /** Gets records from peers that have a higher revision. */
 import * as ClockModule from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
+import * as Log from "../log.ts";
 import * as Tasks from "../peer/tasks.ts";
+import * as ResultCodes from "../result_codes.ts";
 import type * as Supervisor from "../supervisor.ts";
 import type * as Types from "../types.ts";
 import * as Records from "./records.ts";
@@ -10,6 +12,7 @@
 const RECHECK_MS = 1_000;
 const BACKOFF_MIN_MS = 50;
 const BACKOFF_MAX_MS = 1_000;
+const LOG_INTERVAL_MS = 10_000;
 /**
  * Links between domains are narrow and a table has up to 1 MB: the domain's
  * watchers fetch first, and others give a domain peer this time to have it.
@@ -41,6 +44,8 @@
   readonly peers: Contracts.PeerNet;
   readonly domain: Types.Domain;
   readonly supervisor: Supervisor.Supervisor;
+  readonly log: Log.Logger;
+  readonly clock: ClockModule.Clock;
   readonly isWatcher: () => boolean;
   readonly isNeeded: (key: Records.RecordKey, revision: number) => boolean;
   readonly take: (
@@ -55,6 +60,7 @@
     keys: new Map<Types.InstanceId, number>(),
   };
   const highest = { table: 0, keys: 0 };
+  const repeatLimit = Log.createRepeatLimit(LOG_INTERVAL_MS, args.clock.nowMs);
   const news = Tasks.createNotifier();
 
   function tryGetSource(
@@ -82,6 +88,19 @@
     return sources[0];
   }
 
+  function logFailure(
+    key: Records.RecordKey,
+    from: Types.InstanceId,
+    failure: ResultCodes.Failure,
+  ): void {
+    const event = "config-fetch-failed";
+    const allowed = repeatLimit(`${event} ${key}`);
+    if (allowed === undefined) return;
+    const err = ResultCodes.formatFailure(failure);
+    const { suppressed } = allowed;
+    args.log.warn(event, { key, from, err, suppressed });
+  }
+
   async function fetchFrom(
     key: Records.RecordKey,
     id: Types.InstanceId,
@@ -93,7 +112,8 @@
       params,
       CALL_TIMEOUT_MS,
     );
-    if (res.isErr() || !Records.isObject(res.value)) return;
+    if (res.isErr()) return logFailure(key, id, res.error);
+    if (!Records.isObject(res.value)) return;
     const { revision, record } = res.value;
     if (!Records.isRevision(revision)) return;
     args.take(key, { revision, record }, id);
--- a/tests/config_helpers.ts
+++ b/tests/config_helpers.ts
@@ -108,7 +108,7 @@
 }
 
 export function createTableRecord(csv: string): Types.TableRecord {
-  return { writeId: `w-${csv}`, by: "test", csv };
+  return { writeId: `w-${csv.slice(0, 8)}`, by: "test", csv };
 }
 
 export function createKeysRecord(
--- a/tests/peer_test.ts
+++ b/tests/peer_test.ts
@@ -398,6 +398,31 @@
     expect(a.net.getConnectedCount()).toBe(1);
   });
 
+  it("calls a member outside the own mesh by connecting to it", async () => {
+    const first = await start("m0", []);
+    const rest = await Promise.all(
+      Array.from(
+        { length: 27 },
+        (_, i) =>
+          start(`m${i + 1}`, [first.address], { domain: `d-${(i + 1) % 2}` }),
+      ),
+    );
+    const last = rest.at(-1)!;
+    const outside = await vi.waitFor(() => {
+      const members = last.net.getMembers();
+      expect(members.filter((m) => m.isReachable)).toHaveLength(27);
+      const unconnected = members.find(({ heartbeat }) =>
+        last.net.getReachability(heartbeat.id) !== "reachable"
+      );
+      return unconnected!.heartbeat.id;
+    }, WAIT);
+    const before = last.net.getConnectedCount();
+    expect(before).toBeLessThan(27);
+    const res = await last.net.call(outside, "members.list", {}, 3_000);
+    expect(res.isOk()).toBe(true);
+    expect(last.net.getReachability(outside)).toBe("reachable");
+  });
+
   it("serves the operators' tool without taking it for a member", async () => {
     const a = await start("a", []);
     a.net.handle("status", (_, from) => ({ from }));
@@ -450,6 +475,24 @@
   });
 });
 
+describe("readers of the wire", () => {
+  it("never throw, whatever arrives", () => {
+    const remote = { id: "b", incarnation: "b-run1" };
+    const codec = Heartbeat.createCodec(0, remote);
+    const listing = Listing.createListing();
+    const self = Helpers.createBeat("b", "d");
+    fc.assert(
+      fc.property(fc.anything(), fc.array(fc.anything()), (any, list) => {
+        expect(codec.decode(any, 1)).toBeUndefined();
+        expect(codec.decode(list, 1)).toBeUndefined();
+        Listing.tryReadChanges(any);
+        Listing.tryReadChanges({ version: 1, members: list, ages: {} });
+        listing.answer(any, self, []);
+      }),
+    );
+  });
+});
+
 describe("membership", () => {
   function createCase(isMeshed: boolean) {
     const state = { nowMs: 10_000 };
