--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -86,6 +86,7 @@
     seeds: cfg.peers.seeds,
     secret: cfg.peers.secret,
     getHeartbeat: heartbeat.get,
+    localAddress: cfg.outbound.address,
     supervisor: root.createChild("peers"),
     log,
     clock,
@@ -171,6 +172,7 @@
     peers,
     exchanger: Exchange.createExchanger({
       bufferBytes: cfg.limits.bufferBytes,
+      localAddress: cfg.outbound.address,
     }),
     relay: Relay.createRelaySigner(cfg.peers.secret, clock),
     metrics,
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -74,9 +74,13 @@
 /** Creates the connections' owner. Answers up to `bufferBytes` are held back until they are whole. */
 export function createExchanger(opts: {
   readonly bufferBytes: number;
+  /** Source IP of connections. */
+  readonly localAddress?: string | undefined;
 }): Exchanger {
+  const { localAddress } = opts;
+  const local = localAddress === undefined ? {} : { localAddress };
   const common = {
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: { timeout: CONNECT_TIMEOUT_MS, ...local },
     headersTimeout: 0,
     bodyTimeout: 0,
   };
--- a/src/peer/dial.ts
+++ b/src/peer/dial.ts
@@ -19,6 +19,7 @@
 
 function connect(
   address: Types.Address,
+  localAddress: string | undefined,
 ): Promise<Result<Net.Socket, ResultCodes.Failure>> {
   const parsed = Wire.tryParseAddress(address);
   if (parsed === undefined || parsed.port === 0) {
@@ -26,7 +27,9 @@
     return Promise.resolve(failed);
   }
   return new Promise((resolve) => {
-    const socket = Net.connect(parsed);
+    const socket = Net.connect(
+      localAddress === undefined ? parsed : { ...parsed, localAddress },
+    );
     const giveUp = (detail: string) => {
       clearTimeout(timer);
       socket.destroy();
@@ -52,8 +55,10 @@
   readonly secret: string;
   readonly server: Connection.Server;
   readonly clock: Clock.Clock;
+  /** Source IP of the connection. */
+  readonly localAddress?: string | undefined;
 }): Promise<Result<Connection.Connection, ResultCodes.Failure>> {
-  const connected = await connect(args.address);
+  const connected = await connect(args.address, args.localAddress);
   if (connected.isErr()) return connected;
   const openedAtMs = args.clock.nowMs();
   const socket = LineSocket.createLineSocket(connected.value);
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -57,6 +57,8 @@
   readonly supervisor: Supervisor.Supervisor;
   readonly log: Log.Logger;
   readonly clock: Clock.Clock;
+  /** Source IP of outgoing connections. */
+  readonly localAddress?: string | undefined;
 }
 
 /** Creates the peer net; nothing happens before `listen()`. */
@@ -84,6 +86,7 @@
   const dialer = Dialer.createDialer({
     dial: (address) =>
       Dial.dial({
+        localAddress: args.localAddress,
         address,
         self: { ...identity, seq: ++lastSeq },
         secret,
--- a/src/settings/check.ts
+++ b/src/settings/check.ts
@@ -10,6 +10,8 @@
   text(key: string, minChars: number): string;
   address(key: string, fallback?: string): string;
   addresses(key: string): readonly string[];
+  /** An IP number without a port, or undefined when the setting is left out. */
+  optionalIp(key: string): string | undefined;
   integer(key: string, min: number, max: number, fallback: number): number;
   choice<T extends string>(key: string, allowed: readonly T[], fallback: T): T;
   /** Notes an error unless `isGood`. */
@@ -96,6 +98,13 @@
       note(key, value, "a list of IP:port");
       return [];
     },
+    optionalIp(key) {
+      const value = get(key);
+      if (value === undefined) return undefined;
+      if (typeof value === "string" && Net.isIP(value) !== 0) return value;
+      note(key, value, "an IP number, for example 10.0.0.5");
+      return undefined;
+    },
     integer(key, min, max, fallback) {
       const value = get(key) ?? fallback;
       const isGood = typeof value === "number" && Number.isInteger(value) &&
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -25,6 +25,10 @@
     readonly caller: Types.Address;
     readonly peer: Types.Address;
   };
+  readonly outbound: {
+    /** Source IP of connections to peers and targets; the operating system's choice when undefined. */
+    readonly address: string | undefined;
+  };
   readonly platform: {
     readonly address: Types.Address;
     readonly timeoutMs: number;
@@ -106,6 +110,7 @@
       caller: r.address("advertise.caller", listen.caller),
       peer: r.address("advertise.peer", listen.peer),
     },
+    outbound: { address: r.optionalIp("outbound.address") },
     platform: {
       address: r.address("platform.address"),
       timeoutMs: r.integer("platform.timeout_ms", 50, 30_000, 1_000),
--- a/testing/fleet/fleet.ts
+++ b/testing/fleet/fleet.ts
@@ -12,6 +12,7 @@
 import * as Wait from "../harness/wait.ts";
 import type * as Records from "../target/records.ts";
 import type * as Layout from "./layout.ts";
+import * as Network from "./network.ts";
 
 const START_LIMIT_MS = 20_000;
 
@@ -46,11 +47,8 @@
   readonly listLagMs?: number;
   /** Changes to each instance's settings. */
   readonly settings?: Partial<Settings.SettingsOptions>;
-  /** Address that an instance uses for the platform, for example a proxy's. */
-  readonly getPlatformAddress?: (
-    id: string,
-    real: Types.Address,
-  ) => Promise<Types.Address> | Types.Address;
+  /** Puts every listener behind endpoints of this network. */
+  readonly network?: Network.TestNetwork;
 }
 
 /** A running fleet. */
@@ -124,9 +122,39 @@
   return written.unwrap();
 }
 
+interface InstanceEndpoints {
+  readonly caller: Network.Endpoint;
+  readonly peer: Network.Endpoint;
+  readonly settings: Partial<Settings.SettingsOptions>;
+}
+
+/** Endpoints of an instance, and the settings that make it use them. */
+async function createInstanceEndpoints(
+  network: Network.TestNetwork,
+  domain: string,
+  platformAddress: Types.Address,
+): Promise<InstanceEndpoints> {
+  const ip = network.getIp(domain);
+  const caller = await network.createEndpoint(domain);
+  const peer = await network.createEndpoint(domain);
+  // The platform's client has no source address of its own, so it gets an endpoint per instance.
+  const platform = await network.createEndpoint(Network.PLATFORM, domain);
+  platform.setTarget(platformAddress);
+  return {
+    caller,
+    peer,
+    settings: {
+      listen: { caller: `${ip}:0`, probe: `${ip}:0`, peer: `${ip}:0` },
+      advertise: { caller: caller.address, peer: peer.address },
+      platform: platform.address,
+      extra: { outbound: { address: ip } },
+    },
+  };
+}
+
 /** Starts a fleet and waits until every instance serves. */
 export async function startFleet(opts: FleetOptions): Promise<Fleet> {
-  const { layout } = opts;
+  const { layout, network } = opts;
   const platform = await Platform.startPlatform({
     listLagMs: opts.listLagMs ?? 0,
   });
@@ -149,6 +177,7 @@
     domain: string,
     region: string,
   ): Promise<FleetTarget> {
+    const endpoint = await network?.createEndpoint(domain);
     const process = await Process.startProcess({
       script: "testing/target/main.js",
       name: id,
@@ -158,8 +187,10 @@
         ...["--slots", String(service.slots)],
         ...["--service-ms", String(service.serviceMs)],
         ...["--platform", platform.address],
+        ...endpoint === undefined ? [] : ["--advertise", endpoint.address],
       ],
     });
+    endpoint?.setTarget(process.getText("listen"));
     const control = Control.createControlClient(process.getText("control"));
     const target: FleetTarget = {
       id,
@@ -189,16 +220,20 @@
     region: string,
     more: Partial<Settings.SettingsOptions> = {},
   ): Promise<FleetInstance> {
-    const address = await opts.getPlatformAddress?.(id, platform.address) ??
-      platform.address;
+    const behind = network && await createInstanceEndpoints(
+      network,
+      domain,
+      platform.address,
+    );
     const path = Settings.writeSettings({
       id,
       domain,
       region,
-      platform: address,
+      platform: platform.address,
       seeds: instances.filter((one) => one.process.isRunning())
         .slice(0, 3).map((one) => one.peer),
       ...opts.settings,
+      ...behind?.settings,
       ...more,
     });
     const process = await Process.startProcess({
@@ -206,13 +241,15 @@
       name: id,
       args: ["--config", path],
     });
+    behind?.caller.setTarget(process.getText("caller"));
+    behind?.peer.setTarget(process.getText("peer"));
     const instance = {
       id,
       domain,
       region,
       caller: process.getText("caller"),
       probe: process.getText("probe"),
-      peer: process.getText("peer"),
+      peer: behind?.peer.address ?? process.getText("peer"),
       process,
     };
     instances.push(instance);
@@ -269,6 +306,7 @@
     async stop() {
       await store.close();
       await Process.killAll();
+      await network?.close();
     },
   };
 }
--- a/testing/target/stand_in.ts
+++ b/testing/target/stand_in.ts
@@ -28,6 +28,8 @@
   /** `ip:port`; port 0 lets the operating system choose. */
   readonly listen?: Types.Address;
   readonly control?: Types.Address;
+  /** Address for the instance list, when it differs from `listen`. */
+  readonly advertise?: Types.Address | undefined;
   readonly slots: number;
   readonly serviceMs: number;
   /** Address of the platform whose instance list gets the entry. */
@@ -222,7 +224,7 @@
     service: opts.service,
     domain: opts.domain,
     region: opts.region,
-    address: listenAt,
+    address: opts.advertise ?? listenAt,
     slots: opts.slots,
     state: state.faults.leaving === true ? "leaving" : "live",
   });
