--- a/testing/harness/wait.ts
+++ b/testing/harness/wait.ts
@@ -6,6 +6,20 @@
 /** A condition; undefined, false and a rejection mean "not yet". */
 export type Condition<T> = () => T | Promise<T>;
 
+/** Undefined when the condition itself takes too long. */
+async function withLimit<T>(
+  condition: Condition<T>,
+  limitMs: number,
+): Promise<T | undefined> {
+  const answered = new AbortController();
+  const late = Clock.sleep(limitMs, answered.signal).then(() => undefined);
+  try {
+    return await Promise.race([condition(), late]);
+  } finally {
+    answered.abort();
+  }
+}
+
 /** Polls until the condition holds and resolves with its value; rejects after `timeoutMs` naming `what`. */
 export async function waitFor<T>(
   condition: Condition<T>,
@@ -17,8 +31,7 @@
   while (true) {
     try {
       const leftMs = Math.max(deadlineMs - performance.now(), 0);
-      const late = Clock.sleep(leftMs + POLL_INTERVAL_MS);
-      const value = await Promise.race([condition(), late]);
+      const value = await withLimit(condition, leftMs + POLL_INTERVAL_MS);
       if (value !== undefined && value !== false) {
         return value as Exclude<T, undefined | false>;
       }
