--- a/src/config/fetcher.ts
+++ b/src/config/fetcher.ts
@@ -61,7 +61,7 @@
   };
   const highest = { table: 0, keys: 0 };
   const repeatLimit = Log.createRepeatLimit(LOG_INTERVAL_MS, args.clock.nowMs);
-  const news = Tasks.createNotifier();
+  const newRevisions = Tasks.createNotifier();
 
   function tryGetSource(
     key: Records.RecordKey,
@@ -142,7 +142,9 @@
     let backoffMs = BACKOFF_MIN_MS;
     while (!signal.aborted) {
       const outcome = await fetchNext(key, signal);
-      if (outcome === "nothing-newer") await news.wait(RECHECK_MS, signal);
+      if (outcome === "nothing-newer") {
+        await newRevisions.wait(RECHECK_MS, signal);
+      }
       if (outcome !== "failed") {
         backoffMs = BACKOFF_MIN_MS;
         continue;
@@ -160,7 +162,7 @@
     note(key, id, revision) {
       heard[key].set(id, revision);
       highest[key] = Math.max(highest[key], revision);
-      if (args.isNeeded(key, revision)) news.notify();
+      if (args.isNeeded(key, revision)) newRevisions.notify();
     },
     getHighest: (key) => highest[key],
   };
--- a/src/config/holder.ts
+++ b/src/config/holder.ts
@@ -74,7 +74,7 @@
   let extra: readonly string[] = [];
 
   /** A listener that throws must not keep the others from the change. */
-  function tell(what: string, fn: () => void): void {
+  function notifyListener(what: string, fn: () => void): void {
     try {
       fn();
     } catch (err) {
@@ -114,7 +114,7 @@
     tableRecord = one;
     table = made;
     log.info("table-applied", { revision, source });
-    for (const fn of tableListeners) tell("table", () => fn(made));
+    for (const fn of tableListeners) notifyListener("table", () => fn(made));
     return Ok(true);
   }
 
@@ -123,7 +123,7 @@
     extra = [...withdrawn].filter((digest) => !known.has(digest));
     merged = { ...stored, withdrawn: [...stored.withdrawn, ...extra] };
     for (const fn of keysListeners) {
-      tell("keys", () => fn(keysRevision, merged));
+      notifyListener("keys", () => fn(keysRevision, merged));
     }
   }
 
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -174,11 +174,11 @@
     members.noteHeartbeat(received);
     const isMoved = before?.heartbeat.peerAddress !== heartbeat.peerAddress;
     if (isMoved) learnAddresses([heartbeat]);
-    for (const fn of listeners) tell(fn, heartbeat);
+    for (const fn of listeners) notifyListener(fn, heartbeat);
   }
 
   /** A listener that throws must not keep the others from the heartbeat. */
-  function tell(
+  function notifyListener(
     fn: (heartbeat: Types.Heartbeat) => void,
     heartbeat: Types.Heartbeat,
   ): void {
@@ -215,7 +215,7 @@
     }
   }
 
-  function beat(): void {
+  function sendHeartbeats(): void {
     members.forget((id) => calls.getReachability(id) === "refused");
     calls.forget();
     updateMesh();
@@ -271,7 +271,11 @@
     async listen() {
       const address = await listener.listen();
       args.seeds.forEach((seed) => dialer.add(seed));
-      args.supervisor.every("peer-heartbeats", HEARTBEAT_INTERVAL_MS, beat);
+      args.supervisor.every(
+        "peer-heartbeats",
+        HEARTBEAT_INTERVAL_MS,
+        sendHeartbeats,
+      );
       args.supervisor.every("peer-silence", TICK_MS, tick);
       Discovery.start({
         supervisor: args.supervisor,
--- a/tests/config_helpers.ts
+++ b/tests/config_helpers.ts
@@ -180,19 +180,19 @@
   });
   const { config, freshness } = made;
   if (config === undefined || freshness === undefined) throw new Error("order");
-  refreshBeat(net.beat, config, platform, freshness);
+  defineHeartbeat(net.heartbeat, config, platform, freshness);
   return { ...net, config, keys, freshness, applied };
 }
 
 /** Makes the heartbeat's fields follow the modules, as the daemon does. */
-function refreshBeat(
-  beat: Helpers.Beat,
+function defineHeartbeat(
+  heartbeat: Helpers.MutableHeartbeat,
   config: ConfigStore.Store,
   platform: Contracts.PlatformClient,
   freshness: Contracts.Freshness,
 ): void {
   const define = (name: keyof Types.Heartbeat, get: () => number) =>
-    Object.defineProperty(beat, name, { get, enumerable: true });
+    Object.defineProperty(heartbeat, name, { get, enumerable: true });
   define("tableRevision", () => config.getTable()?.revision ?? 0);
   define("keysRevision", () => config.getKeysRevision());
   define(
--- a/tests/config_test.ts
+++ b/tests/config_test.ts
@@ -245,9 +245,9 @@
   fields: Partial<Types.Heartbeat> = {},
   ageMs = 500,
 ): Types.Member {
-  const beat = Helpers.createBeat(id, domain);
+  const heartbeat = Helpers.createHeartbeat(id, domain);
   const isReachable = ageMs < 3_000;
-  return { heartbeat: { ...beat, ...fields }, ageMs, isReachable };
+  return { heartbeat: { ...heartbeat, ...fields }, ageMs, isReachable };
 }
 
 describe("watchers", () => {
--- a/tests/peer_helpers.ts
+++ b/tests/peer_helpers.ts
@@ -11,19 +11,19 @@
 export const quietLog = Log.createLogger("error", {}, () => {});
 
 /** Values of a heartbeat that a test may change while the net runs. */
-export type Beat = {
+export type MutableHeartbeat = {
   -readonly [K in keyof Types.Heartbeat]: Types.Heartbeat[K];
 };
 
 export interface TestNet {
   readonly net: Net.Net;
   readonly address: Types.Address;
-  readonly beat: Beat;
+  readonly heartbeat: MutableHeartbeat;
   readonly supervisor: Supervisor.Supervisor;
   stop(): Promise<void>;
 }
 
-export function createBeat(id: string, domain: string): Beat {
+export function createHeartbeat(id: string, domain: string): MutableHeartbeat {
   return {
     id,
     incarnation: `${id}-run1`,
@@ -57,25 +57,25 @@
     ) => void;
   } = {},
 ): Promise<TestNet> {
-  const beat = createBeat(id, opts.domain ?? "uusimaa-1");
-  beat.incarnation = opts.incarnation ?? beat.incarnation;
+  const heartbeat = createHeartbeat(id, opts.domain ?? "uusimaa-1");
+  heartbeat.incarnation = opts.incarnation ?? heartbeat.incarnation;
   const supervisor = Supervisor.createSupervisor(id, quietLog);
   const net = Net.createPeerNet({
     self: id,
-    incarnation: beat.incarnation,
-    domain: beat.domain,
+    incarnation: heartbeat.incarnation,
+    domain: heartbeat.domain,
     listen: opts.listen ?? "127.0.0.1:0",
     seeds,
     secret: opts.secret ?? SECRET,
-    getHeartbeat: () => beat,
+    getHeartbeat: () => heartbeat,
     supervisor,
     log: quietLog,
     clock: Clock.systemClock,
   });
   opts.prepare?.(net, supervisor);
   const address = await net.listen();
-  beat.peerAddress = address;
-  return { net, address, beat, supervisor, stop: supervisor.stop };
+  heartbeat.peerAddress = address;
+  return { net, address, heartbeat, supervisor, stop: supervisor.stop };
 }
 
 /** A TCP relay to `target` that can stop passing bytes while both ends stay connected. */
--- a/tests/peer_test.ts
+++ b/tests/peer_test.ts
@@ -354,10 +354,10 @@
   it("tells an ended process from a black-holed link, and reconnects after both", async () => {
     const a = await start("a", []);
     const link = await startLink(a.address);
-    a.beat.peerAddress = link.address;
+    a.heartbeat.peerAddress = link.address;
     const b = await start("b", [link.address]);
     // `a` must not get around the link.
-    b.beat.peerAddress = "127.0.0.1:9";
+    b.heartbeat.peerAddress = "127.0.0.1:9";
     await waitReachable(b, "a");
     link.setFrozen(true);
     await vi.waitFor(() => {
@@ -447,8 +447,8 @@
     const remote = { id: "b", incarnation: "b-run1" };
     const mine = Heartbeat.createCodec(0, remote);
     const theirs = Heartbeat.createCodec(0, { id: "a", incarnation: "a-run1" });
-    const a = Helpers.createBeat("a", "d");
-    const b = Helpers.createBeat("b", "d");
+    const a = Helpers.createHeartbeat("a", "d");
+    const b = Helpers.createHeartbeat("b", "d");
     // The other side's clock is 500 s ahead; its codec opened at 0 on it.
     const skew = 500_000;
     theirs.decode(mine.encode(a, 10_000), 10_002 + skew);
@@ -462,9 +462,9 @@
   it("send what did not change only once, and give back every field", () => {
     const sender = Heartbeat.createCodec(0, { id: "a", incarnation: "a-run1" });
     const reader = Heartbeat.createCodec(0, { id: "b", incarnation: "b-run1" });
-    const beat = Helpers.createBeat("b", "d");
-    reader.decode(sender.encode(beat, 1), 2);
-    const next = { ...beat, state: "leaving", shards: [3] } as const;
+    const heartbeat = Helpers.createHeartbeat("b", "d");
+    reader.decode(sender.encode(heartbeat, 1), 2);
+    const next = { ...heartbeat, state: "leaving", shards: [3] } as const;
     const wire = JSON.stringify(sender.encode(next, 1_000));
     expect(wire).not.toContain("domain");
     expect(reader.decode(JSON.parse(wire), 1_001)?.heartbeat).toEqual(next);
@@ -480,7 +480,7 @@
     const remote = { id: "b", incarnation: "b-run1" };
     const codec = Heartbeat.createCodec(0, remote);
     const listing = Listing.createListing();
-    const self = Helpers.createBeat("b", "d");
+    const self = Helpers.createHeartbeat("b", "d");
     fc.assert(
       fc.property(fc.anything(), fc.array(fc.anything()), (any, list) => {
         expect(codec.decode(any, 1)).toBeUndefined();
@@ -508,8 +508,8 @@
 
   it("is listed whole once, then only what changed, and refreshes ages", () => {
     const listing = Listing.createListing();
-    const self = Helpers.createBeat("b", "d");
-    const c = Helpers.createBeat("c", "d");
+    const self = Helpers.createHeartbeat("b", "d");
+    const c = Helpers.createHeartbeat("c", "d");
     const ask = (version: number, others: readonly Types.Member[]) => {
       const answer = listing.answer({ version }, self, others);
       return Listing.tryReadChanges(JSON.parse(JSON.stringify(answer)))!;
@@ -540,7 +540,7 @@
   it("does not take a member of the own mesh for reachable because others reach it", () => {
     const { members } = createCase(true);
     const ages = { c: 0 };
-    const listed = toMember(Helpers.createBeat("c", "d"));
+    const listed = toMember(Helpers.createHeartbeat("c", "d"));
     members.noteChanges({ version: 1, members: [listed], ages: {} }, 9_900);
     members.noteChanges({ version: 2, members: [], ages }, 9_950);
     expect(members.tryGet("c")?.isReachable).toBe(false);
@@ -548,9 +548,9 @@
 
   it("prefers what a member said itself, and forgets ended ones", () => {
     const { state, members } = createCase(false);
-    const beat = Helpers.createBeat("c", "d");
-    members.noteHeartbeat({ heartbeat: beat, sentAtMs: 9_000 });
-    const old = toMember({ ...beat, incarnation: "c-run0" }, 0);
+    const heartbeat = Helpers.createHeartbeat("c", "d");
+    members.noteHeartbeat({ heartbeat: heartbeat, sentAtMs: 9_000 });
+    const old = toMember({ ...heartbeat, incarnation: "c-run0" }, 0);
     members.noteChanges({ version: 1, members: [old], ages: {} }, 9_990);
     expect(members.tryGet("c")?.heartbeat.incarnation).toBe("c-run1");
     state.nowMs += 600_000;
