Size loans by round trip and flow, and test shards and leases

Cause: a loan lowers its lender's capacity for its whole time. With 2 s for every loan, one-token buckets lost 2.5 tokens of refill per loan: 1.7% of the requests at half the rate were refused over 8 instances, 4.0% over 11. Change: the borrower asks for at most 2 s, and for less when the tokens are spent on arrival; answers say the lender's spare rate; backoff only after attempts that brought nothing. Focused tests for leases, take-overs, hand-overs and table changes.

--- a/src/budget/budgets.ts
+++ b/src/budget/budgets.ts
@@ -41,6 +41,8 @@
   readonly cfg: Pick<Settings.Settings, "lease" | "keys" | "platform">;
   /** Waits; replaceable so that tests control time. */
   readonly sleep?: (ms: number) => Promise<void>;
+  /** Jitter; replaceable so that tests repeat from a seed. */
+  readonly random?: () => number;
 }
 
 /** Budgets with their life cycle. */
@@ -97,6 +99,7 @@
     peers,
     clock,
     sleep,
+    random: deps.random ?? Math.random,
     holdings,
     lenders,
     isValid: lease.isValid,
--- a/src/budget/lenders.ts
+++ b/src/budget/lenders.ts
@@ -10,6 +10,7 @@
 import type * as Types from "../types.ts";
 import type * as Bucket from "./bucket.ts";
 import type * as Division from "./division.ts";
+import type * as Messages from "./messages.ts";
 
 /** Less than this is not worth a message. */
 const MIN_ASK = 0.01;
@@ -19,25 +20,41 @@
 /** A peer that did not answer is left out for as long as it takes to be found unreachable. */
 const SILENCE_MS = 3_000;
 
+/** Assumed round trips, in ms, until one was measured: within a domain, and between regions. */
+const NEAR_RTT_MS = 20;
+const FAR_RTT_MS = 120;
+const RTT_WEIGHT = 0.2;
+/** After this an answer says nothing any more. */
+const ANSWER_STALE_MS = 4_000;
+
 /** One peer to ask. */
 export interface Ask {
   readonly id: Types.InstanceId;
   readonly want: number;
+  /** What it probably can lend. */
+  readonly expected: number;
+  /** Round trip in ms, measured or assumed. */
+  readonly rttMs: number;
 }
 
 /** Knowledge of what peers can lend. */
 export interface Lenders {
-  /** Peers to ask at the same time; empty when they could not cover `need` of the wanted tokens. */
+  /** Peers to ask at the same time for `want` tokens; none when all together could not cover `need`. */
   choose(
     key: Contracts.BudgetKey,
     need: number,
     want: number,
     asked: ReadonlySet<Types.InstanceId>,
   ): readonly Ask[];
+  /** Ms until the peers should be able to cover `need`. */
+  getRetryMs(key: Contracts.BudgetKey, need: number): number;
+  /** Sum of the bursts that reachable peers hold. */
+  getBurst(key: Contracts.BudgetKey): number;
   noteAnswer(
     key: Contracts.BudgetKey,
     id: Types.InstanceId,
-    left: number,
+    answer: Messages.BorrowAnswer,
+    rttMs: number,
   ): void;
   noteSilence(id: Types.InstanceId): void;
 }
@@ -47,10 +64,13 @@
   readonly isNear: boolean;
   readonly limits: Bucket.Limits;
   readonly expected: number;
+  readonly spareRate: number;
 }
 
 interface Answer {
   readonly left: number;
+  /** Tokens per second that the lender does not use itself. */
+  readonly spareRate: number;
   readonly atMs: number;
 }
 
@@ -63,6 +83,7 @@
 ): Lenders {
   const answers = new Map<string, Answer>();
   const silentUntil = new Map<Types.InstanceId, number>();
+  const rtts = new Map<Types.InstanceId, number>();
 
   function getLimits(
     key: Contracts.BudgetKey,
@@ -82,11 +103,15 @@
     key: Contracts.BudgetKey,
     id: Types.InstanceId,
     limits: Bucket.Limits,
-  ): number {
+  ): { readonly expected: number; readonly spareRate: number } {
     const answer = answers.get(`${id} ${key}`);
-    if (answer === undefined) return limits.burst;
-    const refill = (limits.rate * (clock.nowMs() - answer.atMs)) / 1000;
-    return Math.min(limits.burst, answer.left + refill);
+    const ageMs = clock.nowMs() - (answer?.atMs ?? -Infinity);
+    if (answer === undefined || ageMs > ANSWER_STALE_MS) {
+      return { expected: limits.burst, spareRate: limits.rate };
+    }
+    const { left, spareRate } = answer;
+    const refilled = left + (spareRate * ageMs) / 1000;
+    return { expected: Math.min(limits.burst, refilled), spareRate };
   }
 
   function listCandidates(
@@ -99,33 +124,65 @@
       const isSilent = (silentUntil.get(id) ?? 0) > clock.nowMs();
       if (!isReachable || isSilent || asked.has(id)) continue;
       const limits = getLimits(key, heartbeat);
-      const expected = estimate(key, id, limits);
-      if (expected < MIN_ASK) continue;
+      if (limits.burst < MIN_ASK) continue;
       const isNear = heartbeat.domain === domain;
-      found.push({ id, isNear, limits, expected });
+      found.push({ id, isNear, limits, ...estimate(key, id, limits) });
     }
-    return found.sort((a, b) =>
-      Number(b.isNear) - Number(a.isNear) || b.expected - a.expected ||
-      b.limits.rate - a.limits.rate
+    return found;
+  }
+
+  /** Near ones that cover the need alone, then those that hold most. */
+  function order(
+    candidates: readonly Candidate[],
+    need: number,
+  ): readonly Candidate[] {
+    const isGood = (one: Candidate) => one.isNear && one.expected >= need;
+    return candidates.toSorted((a, b) =>
+      Number(isGood(b)) - Number(isGood(a)) || b.expected - a.expected ||
+      Number(b.isNear) - Number(a.isNear) || b.limits.rate - a.limits.rate
     );
   }
 
   return {
     choose(key, need, want, asked) {
       const candidates = listCandidates(key, asked);
-      const total = candidates.reduce((sum, one) => sum + one.expected, 0);
+      let total = 0;
+      for (const { expected } of candidates) total += expected;
       if (total + ROUNDING < need) return [];
       const asks: Ask[] = [];
       let left = want;
-      for (const { id, expected } of candidates) {
+      for (const { id, expected, isNear } of order(candidates, need)) {
         if (left <= 0 || asks.length >= MAX_WAVE) break;
-        asks.push({ id, want: left });
+        if (expected < MIN_ASK) continue;
+        const rttMs = rtts.get(id) ?? (isNear ? NEAR_RTT_MS : FAR_RTT_MS);
+        asks.push({ id, want: left, expected, rttMs });
         left -= expected;
       }
       return asks;
     },
-    noteAnswer(key, id, left) {
-      answers.set(`${id} ${key}`, { left, atMs: clock.nowMs() });
+    getRetryMs(key, need) {
+      let total = 0;
+      let spareRate = 0;
+      for (const candidate of listCandidates(key, new Set())) {
+        total += candidate.expected;
+        spareRate += candidate.spareRate;
+      }
+      if (total >= need) return 0;
+      const refillMs = ((need - total) / spareRate) * 1000;
+      return Math.min(refillMs, ANSWER_STALE_MS);
+    },
+    getBurst(key) {
+      let burst = 0;
+      for (const one of listCandidates(key, new Set())) {
+        burst += one.limits.burst;
+      }
+      return burst;
+    },
+    noteAnswer(key, id, { left, spareRate }, rttMs) {
+      const atMs = clock.nowMs();
+      const old = rtts.get(id) ?? rttMs;
+      rtts.set(id, Math.max(rttMs, old + (rttMs - old) * RTT_WEIGHT));
+      answers.set(`${id} ${key}`, { left, spareRate, atMs });
     },
     noteSilence(id) {
       silentUntil.set(id, clock.nowMs() + SILENCE_MS);
--- a/src/budget/loans.ts
+++ b/src/budget/loans.ts
@@ -2,9 +2,9 @@
  * Taking tokens from the own buckets and from loans of peers.
  *
  * Promise: a token is spendable in one place at a time. The lender removes it
- * and lowers its capacity for `LOAN_MS` from when it answers; the borrower
- * spends it only within `LOAN_MS` from when it asked, which ends earlier. A
- * lost or late message loses the token for that time. It breaks when one clock
+ * and lowers its capacity for the loan's time (at most `LOAN_MS`) from when it
+ * answers; the borrower spends it only within that time from when it asked,
+ * which ends earlier. A lost or late message loses the token for that time. It breaks when one clock
  * runs faster than another by more than `EXPIRY_MARGIN_MS` per loan.
  */
 import { Ok, type Result } from "ts-results-es";
@@ -24,18 +24,35 @@
 const HEDGE_MS = 150;
 const BACKOFF_MIN_MS = 50;
 const BACKOFF_MAX_MS = 1_000;
-/** A steady flow borrows this much of its future need in one go; half a loan's life. */
-const PREFETCH_S = 1;
+/** A loan outlives the expected answer by this factor, and is this long at least. */
+const LOAN_RTTS = 4;
+const LOAN_MIN_MS = 200;
+/**
+ * Least time of a loan that is only a part of the need, so that parts of
+ * several lenders live until the last one arrives.
+ */
+const PART_LOAN_MIN_MS = 400;
+/**
+ * Part of the peers' bursts that a steady flow borrows ahead. A lent token
+ * keeps its lender from refilling, so that long loans of many tokens would cost
+ * more rate than they save in messages.
+ */
+const PREFETCH_FRACTION = 0.1;
+/** What a flow borrows ahead when tokens are scarce, in time. */
+const SCARCE_PREFETCH_MS = 150;
+/** After an attempt that fell short tokens count as scarce for this long. */
+const SCARCE_MS = 5_000;
 /** What a lender keeps of its own recent demand. */
-const RESERVE_S = 0.5;
+const RESERVE_S = 0.1;
 /** Above this part of its rate in use, a lender keeps a whole token. */
-const BUSY_FRACTION = 0.5;
+const BUSY_FRACTION = 1;
 
 /** What loans need of their surroundings. */
 export interface LoansDeps {
   readonly peers: Contracts.PeerNet;
   readonly clock: Clock.Clock;
   readonly sleep: (ms: number) => Promise<void>;
+  readonly random: () => number;
   readonly holdings: Holdings.Holdings;
   readonly lenders: Lenders.Lenders;
   readonly isValid: () => boolean;
@@ -78,6 +95,8 @@
   waiters: Waiter[];
   isBorrowing: boolean;
   backoffMs: number;
+  scarceUntilMs: number;
+  borrowedTokens: number;
   borrowAfterMs: number;
   wakeAtMs: number;
 }
@@ -166,6 +185,8 @@
       waiters: [],
       isBorrowing: false,
       backoffMs: 0,
+      scarceUntilMs: 0,
+      borrowedTokens: 0,
       borrowAfterMs: 0,
       wakeAtMs: Infinity,
     };
@@ -202,7 +223,6 @@
       }
       if (!spend(line.state, first.tokens)) break;
       line.waiters.shift();
-      line.backoffMs = 0;
       first.resolve(Ok(undefined));
     }
   }
@@ -266,52 +286,91 @@
     return sum - getHeld(line.state);
   }
 
-  function getPrefetch(line: Line): number {
-    const { bucket, demand } = line.state;
-    const rate = demand.getRate(clock.nowMs());
-    const short = rate - bucket.getLimits().rate;
-    return Math.max(0, short * PREFETCH_S);
+  /** How long to borrow, and how many tokens ahead: half of what the flow uses in that time. */
+  function planPrefetch(line: Line) {
+    const { bucket, demand, key } = line.state;
+    const now = clock.nowMs();
+    const short = demand.getRate(now) - bucket.getLimits().rate;
+    if (short <= 0) return { loanMs: 0, tokens: 0 };
+    if (line.scarceUntilMs > now) {
+      const soon = Math.floor((short * SCARCE_PREFETCH_MS) / 1_000);
+      return { loanMs: 0, tokens: soon };
+    }
+    const tokens = PREFETCH_FRACTION * lenders.getBurst(key);
+    const loanMs = Math.min(Holdings.LOAN_MS, (tokens / short) * 2_000);
+    return { loanMs, tokens: Math.floor((short * loanMs) / 2_000) };
   }
 
   async function borrow(line: Line): Promise<void> {
     line.isBorrowing = true;
+    const { key } = line.state;
     const done = new Set<Types.InstanceId>();
     const pending = new Set<Promise<void>>();
+    const ahead = planPrefetch(line);
+    const borrowedBefore = line.borrowedTokens;
     while (getMissing(line) > 0 && !isStopped) {
-      const first = line.waiters[0]!.tokens - getHeld(line.state);
-      const want = getMissing(line) + getPrefetch(line);
-      const wave = lenders.choose(line.state.key, first, want, done);
+      const need = line.waiters[0]!.tokens - getHeld(line.state);
+      const want = getMissing(line) + ahead.tokens;
+      const wave = lenders.choose(key, need, want, done);
+      const loanMs = getLoanMs(line, need, wave, ahead.loanMs);
+      const calls: Promise<void>[] = [];
       for (const ask of wave) {
         done.add(ask.id);
-        const call = askLender(line, ask).then(() => {
+        const call = askLender(line, ask, loanMs).then(() => {
           pending.delete(call);
         });
         pending.add(call);
+        calls.push(call);
       }
       if (pending.size === 0) break;
-      const all = Promise.all(pending);
-      // Without anybody else to ask, only the answers can help.
+      // Without anybody else to ask, only the answers still out can help.
       await (wave.length === 0
-        ? all
-        : Promise.race([all, deps.sleep(HEDGE_MS)]));
+        ? Promise.all(pending)
+        : Promise.race([Promise.all(calls), deps.sleep(HEDGE_MS)]));
     }
-    finishBorrow(line);
+    finishBorrow(line, borrowedBefore);
   }
 
-  function finishBorrow(line: Line): void {
+  /** Parts of several lenders must live until the slowest answer; longer after failures. */
+  function getLoanMs(
+    line: Line,
+    need: number,
+    wave: readonly Lenders.Ask[],
+    aheadMs: number,
+  ): number {
+    const isWhole = wave.some((ask) => ask.expected >= need);
+    const rttMs = Math.max(0, ...wave.map((ask) => ask.rttMs));
+    const least = Math.max(
+      isWhole ? LOAN_MIN_MS : PART_LOAN_MIN_MS,
+      rttMs * LOAN_RTTS,
+      line.backoffMs,
+    );
+    return Math.min(Holdings.LOAN_MS, Math.max(least, aheadMs));
+  }
+
+  function finishBorrow(line: Line, borrowedBefore: number): void {
     line.isBorrowing = false;
-    if (line.waiters.length === 0) return;
+    if (line.borrowedTokens > borrowedBefore) line.backoffMs = 0;
+    const first = line.waiters[0];
+    if (first === undefined) return;
+    line.scarceUntilMs = clock.nowMs() + SCARCE_MS;
     const next = Math.max(BACKOFF_MIN_MS, line.backoffMs * 2);
     line.backoffMs = Math.min(next, BACKOFF_MAX_MS);
+    const need = first.tokens - getHeld(line.state);
+    const retryMs = lenders.getRetryMs(line.state.key, need);
     // Jitter keeps instances that ran dry together from asking together.
-    const jitter = 0.5 + Math.random() / 2;
-    line.borrowAfterMs = clock.nowMs() + line.backoffMs * jitter;
+    const waitMs = Math.max(line.backoffMs, retryMs, 1);
+    line.borrowAfterMs = clock.nowMs() + waitMs * (0.5 + deps.random() / 2);
     pump(line);
   }
 
-  async function askLender(line: Line, ask: Lenders.Ask): Promise<void> {
+  async function askLender(
+    line: Line,
+    ask: Lenders.Ask,
+    loanMs: number,
+  ): Promise<void> {
     const { key } = line.state;
-    const params: Messages.BorrowRequest = { key, want: ask.want };
+    const params: Messages.BorrowRequest = { key, want: ask.want, loanMs };
     const sentAtMs = clock.nowMs();
     asked++;
     const method = Messages.METHODS.borrow;
@@ -319,27 +378,30 @@
     if (result.isErr()) return lenders.noteSilence(ask.id);
     const answer = Messages.tryReadBorrowAnswer(result.value);
     if (answer === undefined) return lenders.noteSilence(ask.id);
-    lenders.noteAnswer(key, ask.id, answer.left);
+    lenders.noteAnswer(key, ask.id, answer, clock.nowMs() - sentAtMs);
     if (answer.granted <= 0) return;
     borrowedTokens += answer.granted;
-    const expiresAtMs = sentAtMs + Holdings.LOAN_MS - EXPIRY_MARGIN_MS;
+    line.borrowedTokens += answer.granted;
+    const expiresAtMs = sentAtMs + loanMs - EXPIRY_MARGIN_MS;
     addBorrowed(line.state, answer.granted, expiresAtMs);
     serve(line);
   }
 
   function lend(req: Messages.BorrowRequest): Messages.BorrowAnswer {
+    const nothing = { granted: 0, left: 0, spareRate: 0 };
     const state = holdings.tryGet(req.key);
-    if (state === undefined || !isValid()) return { granted: 0, left: 0 };
+    if (state === undefined || !isValid()) return nothing;
     const now = clock.nowMs();
+    const { rate } = state.bucket.getLimits();
+    const spareRate = Math.max(0, rate - state.demand.getRate(now));
     const waiting = lines.get(req.key)?.waiters.length ?? 0;
     const free = state.bucket.getLevel(now) - getReserve(state, now);
-    if (waiting > 0 || free <= 0) return { granted: 0, left: 0 };
+    if (waiting > 0 || free <= 0) return { ...nothing, spareRate };
     const granted = Math.min(free, req.want);
-    if (!state.bucket.tryLend(granted, now + Holdings.LOAN_MS, now)) {
-      return { granted: 0, left: 0 };
-    }
+    const untilMs = now + Math.min(req.loanMs, Holdings.LOAN_MS);
+    if (!state.bucket.tryLend(granted, untilMs, now)) return nothing;
     lentTokens += granted;
-    return { granted, left: free - granted };
+    return { granted, left: free - granted, spareRate };
   }
 
   /** What the own callers will probably need before the bucket refills. */
--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -67,12 +67,16 @@
 export interface BorrowRequest {
   readonly key: Contracts.BudgetKey;
   readonly want: number;
+  /** Ms for which the borrower may spend them, at most `LOAN_MS`. */
+  readonly loanMs: number;
 }
 
 /** Tokens lent, and what could be lent beyond them. */
 export interface BorrowAnswer {
   readonly granted: number;
   readonly left: number;
+  /** Tokens per second that the lender's own callers do not use. */
+  readonly spareRate: number;
 }
 
 type Raw = Readonly<Record<string, unknown>>;
@@ -153,14 +157,14 @@
 
 export function tryReadBorrow(params: unknown): BorrowRequest | undefined {
   const raw = asRaw(params);
-  return typeof raw?.key === "string" && isAmount(raw.want)
-    ? (raw as unknown as BorrowRequest)
-    : undefined;
+  const isGood = typeof raw?.key === "string" && isAmount(raw.want) &&
+    isAmount(raw.loanMs);
+  return isGood ? (raw as unknown as BorrowRequest) : undefined;
 }
 
 export function tryReadBorrowAnswer(result: unknown): BorrowAnswer | undefined {
   const raw = asRaw(result);
-  return isAmount(raw?.granted) && isAmount(raw.left)
-    ? (raw as unknown as BorrowAnswer)
-    : undefined;
+  const isGood = isAmount(raw?.granted) && isAmount(raw.left) &&
+    isAmount(raw.spareRate);
+  return isGood ? (raw as unknown as BorrowAnswer) : undefined;
 }
--- a/tests/budget_fakes.ts
+++ b/tests/budget_fakes.ts
@@ -382,6 +382,7 @@
       },
       log,
       clock: time,
+      random,
       sleep: (ms) => time.sleep(ms).then(() => enter(node)),
       cfg: {
         lease: {
--- /dev/null
+++ b/tests/budget_test.ts
@@ -0,0 +1,331 @@
+import * as FastCheck from "fast-check";
+import { describe, expect, it } from "vitest";
+import * as Bucket from "../src/budget/bucket.ts";
+import * as Division from "../src/budget/division.ts";
+import type * as Types from "../src/types.ts";
+import * as Fakes from "./budget_fakes.ts";
+
+const SEED = Number(process.env.ANVILROUTE_SEED ?? Date.now() % 1e9);
+const QUIET: Fakes.Noise = { loss: 0, late: 0, twice: 0 };
+const ROUNDING = 1e-6;
+const LOAN_MS = 2_000;
+
+describe("bucket", () => {
+  it("guards against refunds, loans and hand-overs that add tokens in some window", () => {
+    const op = FastCheck.record({
+      kind: FastCheck.constantFrom("take", "take", "lend", "refund", "move"),
+      waitMs: FastCheck.constantFrom(0, 0, 1, 120, 700, 1_999, 2_600),
+      tokens: FastCheck.constantFrom(0.5, 1, 1, 3),
+      isExact: FastCheck.boolean(),
+      pick: FastCheck.nat(),
+    });
+    const input = FastCheck.record({
+      rate: FastCheck.constantFrom(0.5, 2, 10),
+      burst: FastCheck.constantFrom(1, 2.5, 6),
+      ops: FastCheck.array(op, { minLength: 5, maxLength: 60 }),
+    });
+    FastCheck.assert(
+      FastCheck.property(input, ({ rate, burst, ops }) => {
+        const half = { rate: rate / 2, burst: burst / 2 };
+        const buckets = [Bucket.createBucket(0), Bucket.createBucket(0)];
+        const full = { level: half.burst, lent: 0, lentUntilMs: 0 };
+        for (const bucket of buckets) bucket.addPart(half, full, 0);
+        const ran: Fakes.Admission[] = [];
+        const mine: { one: Fakes.Admission; bucket: Bucket.Bucket }[] = [];
+        const lent: { tokens: number; untilMs: number }[] = [];
+        let now = 0;
+        for (const { kind, waitMs, tokens, isExact, pick } of ops) {
+          now += waitMs;
+          const bucket = buckets[pick % 2]!;
+          const other = buckets[1 - (pick % 2)]!;
+          if (kind === "take" && bucket.tryTake(tokens, now)) {
+            const one = { atMs: now, tokens, isRefunded: false };
+            ran.push(one);
+            mine.push({ one, bucket });
+          } else if (kind === "lend") {
+            if (bucket.tryLend(tokens, now + LOAN_MS, now)) {
+              lent.push({ tokens, untilMs: now + LOAN_MS });
+            }
+            // Loans are spent as late as possible, the worst for a window.
+            for (const loan of lent.splice(0)) {
+              const atMs = Math.max(now, loan.untilMs - 1);
+              ran.push({ atMs, tokens: loan.tokens, isRefunded: false });
+            }
+          } else if (kind === "refund" && mine.length > 0) {
+            const [taken] = mine.splice(pick % mine.length, 1);
+            taken!.one.isRefunded = true;
+            const takenAtMs = isExact ? taken!.one.atMs : undefined;
+            taken!.bucket.giveBack(taken!.one.tokens, now, takenAtMs);
+          } else if (kind === "move") {
+            // Half of what the bucket has changes its holder.
+            const { rate: r, burst: b } = bucket.getLimits();
+            const part = { rate: r / 2, burst: b / 2 };
+            other.addPart(part, bucket.removePart(part, now), now);
+          }
+        }
+        const excess = Fakes.findExcess(ran, [{ fromMs: 0, rate, burst }]);
+        expect(excess).toBeLessThan(ROUNDING);
+      }),
+      { seed: SEED, numRuns: 3_000 },
+    );
+    console.log(`seed=${SEED}`);
+  });
+
+  it("returns the tokens of a request that did not run", () => {
+    const bucket = Bucket.createBucket(0);
+    const limits = { rate: 1, burst: 3 };
+    bucket.addPart(limits, { level: 3, lent: 0, lentUntilMs: 0 }, 0);
+    expect(bucket.tryTake(3, 0)).toBe(true);
+    expect(bucket.tryTake(1, 0)).toBe(false);
+    expect(bucket.giveBack(2, 100)).toBe(2);
+    expect(bucket.getLevel(100)).toBeCloseTo(2.1);
+    expect(bucket.giveBack(1, 100, 0)).toBeCloseTo(0.9);
+  });
+});
+
+const cell = FastCheck.record({
+  rate: FastCheck.double({ min: 0, max: 5_000, noNaN: true }),
+  burst: FastCheck.double({ min: 0, max: 500, noNaN: true }),
+});
+
+describe("division", () => {
+  it("guards against shares that do not add up to exactly the limit", () => {
+    const input = FastCheck.record({
+      sizes: FastCheck.array(FastCheck.integer({ min: 1, max: 4 }), {
+        minLength: 1,
+        maxLength: 6,
+      }),
+      cell,
+      capRps: FastCheck.integer({ min: 0, max: 90_000 }),
+    });
+    const micro = (tokens: number) => Math.round(tokens * Division.MICRO);
+    FastCheck.assert(
+      FastCheck.property(input, ({ sizes, cell, capRps }) => {
+        const regions = Object.fromEntries(
+          sizes.map((size, r) => [
+            `r${r}`,
+            Array.from({ length: size }, (_, d) => `r${r}-${d}`),
+          ]),
+        );
+        const table = Fakes.createTable(1, regions, { x: cell }, capRps);
+        const division = Division.createDivision(table);
+        const domains = [...table.domains.keys()];
+        for (const key of division.keys) {
+          const limit = division.getLimit(key);
+          let rate = 0;
+          let burst = 0;
+          for (const domain of domains) {
+            let inDomain = 0;
+            for (let n = 0; n < Division.SHARDS_PER_DOMAIN; n++) {
+              const share = division.getShardShare(domain, n, key);
+              rate += micro(share.rate);
+              burst += micro(share.burst);
+              if (share.burst > 0 || share.rate > 0) inDomain++;
+            }
+            const whole = division.getDomainShare(domain, key).burst;
+            const most = Math.max(1, Math.min(8, Math.floor(whole + 1e-9)));
+            expect(inDomain).toBeLessThanOrEqual(most);
+          }
+          expect(rate, key).toBe(micro(limit.rate));
+          expect(burst, key).toBe(micro(limit.burst));
+        }
+        const acct = division.getLimit("acct/s/x");
+        expect(micro(acct.rate)).toBe(micro(cell.rate) * sizes.length);
+        expect(micro(acct.burst)).toBe(micro(cell.burst) * sizes.length);
+        const cap = division.getLimit("cap/s/r0");
+        expect(Math.floor(cap.rate + cap.burst)).toBeLessThanOrEqual(capRps);
+        if (sizes.length > 1) {
+          const link = division.getLimit("link/s/r0/in");
+          expect(link.rate + link.burst).toBeLessThanOrEqual(100 * 125_000);
+        }
+      }),
+      { seed: SEED, numRuns: 300 },
+    );
+  });
+
+  it("gives a region's own domains 70% of its cap, and every shard a whole token where possible", () => {
+    const regions = { r0: ["p", "q"], r1: ["t"] };
+    const table = Fakes.createTable(
+      1,
+      regions,
+      { x: { rate: 10, burst: 10 } },
+      200,
+    );
+    const division = Division.createDivision(table);
+    expect(division.getLimit("cap/s/r0")).toEqual({ rate: 170, burst: 20 });
+    expect(division.getDomainShare("p", "cap/s/r0").rate).toBeCloseTo(59.5);
+    expect(division.getDomainShare("t", "cap/s/r0").rate).toBeCloseTo(51);
+    const shares = Array.from(
+      { length: 8 },
+      (_, n) => division.getShardShare("p", n, "acct/s/x").burst,
+    );
+    expect(shares.filter((burst) => burst === 1)).toHaveLength(5);
+    expect(shares.filter((burst) => burst === 0)).toHaveLength(3);
+  });
+});
+
+type Cells = Readonly<Record<string, Types.AccountCell>>;
+
+async function startFleet(
+  perDomain: number,
+  cells: Cells,
+  opts: Partial<Fakes.FleetOptions> = {},
+) {
+  const fleet = Fakes.createFleet({ seed: SEED, noise: QUIET, ...opts });
+  const table = Fakes.createTable(1, { r: ["da", "db"] }, cells);
+  for (let i = 1; i <= perDomain; i++) {
+    fleet.addNode(`a${i}`, "da", table);
+    fleet.addNode(`b${i}`, "db", table);
+  }
+  await fleet.time.advance(30_000);
+  return { ...fleet, table };
+}
+
+/** Requests of a Poisson process per account and instance, in step with the fleet's time. */
+async function runLoad(
+  fleet: Awaited<ReturnType<typeof startFleet>>,
+  seconds: number,
+  getRate: (account: string, id: string) => number,
+) {
+  const counts = { asked: 0, admitted: 0, refused: 0 };
+  const stepMs = 10;
+  for (let ms = 0; ms < seconds * 1000; ms += stepMs) {
+    for (const id of fleet.nodes.keys()) {
+      for (const account of fleet.table.accounts) {
+        const chance = (getRate(account, id) * stepMs) / 1000;
+        if (fleet.random() >= chance) continue;
+        counts.asked++;
+        void fleet.get(id).budgets.take(`acct/s/${account}`, 1, 1_000)
+          .then((result) => {
+            if (result.isOk()) counts.admitted++;
+            else counts.refused++;
+          });
+      }
+    }
+    await fleet.time.advance(stepMs);
+  }
+  await fleet.time.advance(2_000);
+  return counts;
+}
+
+function countAsked(fleet: Fakes.Fleet): number {
+  let asked = 0;
+  for (const { budgets } of fleet.nodes.values()) {
+    asked += budgets.getLoanStats().asked;
+  }
+  return asked;
+}
+
+describe("loans", () => {
+  it("guards against wrongful refusals: burst 10 over 11 instances at a tenth of the rate each", async () => {
+    const fleet = await startFleet(5, { x: { rate: 10, burst: 10 } });
+    fleet.addNode("a6", "da", fleet.table);
+    await fleet.time.advance(30_000);
+    expect(fleet.nodes.size).toBe(11);
+    // One instance after the other asks for a tenth of the rate, steadily.
+    let refused = 0;
+    for (const id of fleet.nodes.keys()) {
+      for (let i = 0; i < 10; i++) {
+        const { budgets } = fleet.get(id);
+        const result = budgets.take("acct/s/x", 1, 500);
+        await fleet.time.advance(1_000);
+        if ((await result).isErr()) refused++;
+      }
+    }
+    expect(refused).toBe(0);
+  });
+
+  it("guards against one message per request in a steady flow at one instance", async () => {
+    const fleet = await startFleet(4, { x: { rate: 400, burst: 200 } });
+    const before = countAsked(fleet);
+    const counts = await runLoad(fleet, 10, (_, id) => id === "a1" ? 250 : 0);
+    const perRequest = (countAsked(fleet) - before) / counts.admitted;
+    console.log(
+      `steady flow: refused ${counts.refused} of ${counts.asked}, ` +
+        `borrow messages per admitted request ${perRequest.toFixed(3)}`,
+    );
+    expect(perRequest).toBeLessThan(0.5);
+    expect(counts.refused).toBeLessThan(counts.asked * 0.005);
+  });
+
+  it("guards against loan storms when everybody is empty", async () => {
+    const fleet = await startFleet(4, { x: { rate: 4, burst: 8 } });
+    const before = countAsked(fleet);
+    const counts = await runLoad(fleet, 10, () => 10);
+    const perRequest = (countAsked(fleet) - before) / counts.asked;
+    console.log(
+      `overload 20x: admitted ${counts.admitted} of ${counts.asked}` +
+        `, borrow messages per request ${perRequest.toFixed(3)}`,
+    );
+    expect(perRequest).toBeLessThan(0.5);
+    expect(counts.admitted).toBeGreaterThan(32);
+  });
+
+  it("guards against a frozen lender that holds up the borrower", async () => {
+    const fleet = await startFleet(2, { x: { rate: 20, burst: 8 } });
+    fleet.pause("a2");
+    fleet.kill("b2");
+    const { budgets } = fleet.get("a1");
+    while (budgets.tryTake("acct/s/x", 1));
+    const startedMs = fleet.time.nowMs();
+    let endedMs = 0;
+    void budgets.take("acct/s/x", 2, 1_000).then((result) => {
+      expect(result.isOk()).toBe(true);
+      endedMs = fleet.time.nowMs();
+    });
+    await fleet.time.advance(1_000);
+    expect(endedMs).toBeGreaterThan(0);
+    expect(endedMs - startedMs).toBeLessThan(250);
+  });
+
+  it("builds a whole token from fractions of several lenders", async () => {
+    const fleet = await startFleet(1, { x: { rate: 0.1, burst: 1.5 } });
+    expect(fleet.get("a1").budgets.getHolding("acct/s/x").burst).toBe(0.75);
+    const result = fleet.get("a1").budgets.take("acct/s/x", 1, 500);
+    await fleet.time.advance(500);
+    expect((await result).isOk()).toBe(true);
+  });
+
+  it("guards against wrongful refusals for 8 accounts over 8 and 11 instances", async () => {
+    for (const size of [8, 11]) {
+      const cells: Record<string, Types.AccountCell> = {};
+      for (let i = 1; i <= 8; i++) {
+        cells[`c${i}`] = { rate: i <= 2 ? 100 : 10, burst: i <= 2 ? 50 : 10 };
+      }
+      const fleet = await startFleet(Math.floor(size / 2), cells);
+      if (size % 2 === 1) fleet.addNode("a6", "da", fleet.table);
+      await fleet.time.advance(30_000);
+      const before = countAsked(fleet);
+      // Half of each account's rate, unevenly spread: a third enters at one instance.
+      const counts = await runLoad(fleet, 40, (account, id) => {
+        const rate = cells[account]!.rate * 0.5;
+        const isHome = id === (Number(account[1]) % 2 === 0 ? "a1" : "b2");
+        return isHome ? rate / 3 : (rate * 2) / 3 / (size - 1);
+      });
+      const perRequest = (countAsked(fleet) - before) / counts.admitted;
+      console.log(
+        `8 accounts over ${size}: refused ${counts.refused} of ` +
+          `${counts.asked}, borrow messages per admitted request ` +
+          perRequest.toFixed(3),
+      );
+      expect(counts.refused).toBeLessThan(counts.asked * 0.005);
+    }
+  });
+});
+
+describe("cost", () => {
+  it("guards against a tryTake of more than 2 microseconds", async () => {
+    const fleet = await startFleet(1, { x: { rate: 1e9, burst: 1e9 } });
+    const { budgets } = fleet.get("a1");
+    const rounds = 200_000;
+    let best = Infinity;
+    for (let trial = 0; trial < 5; trial++) {
+      const startedMs = performance.now();
+      for (let i = 0; i < rounds; i++) budgets.tryTake("acct/s/x", 1);
+      best = Math.min(best, performance.now() - startedMs);
+    }
+    const perTakeUs = (best * 1000) / rounds;
+    console.log(`tryTake: ${perTakeUs.toFixed(3)} us`);
+    expect(perTakeUs).toBeLessThan(2);
+  });
+});
--- a/tests/shards_test.ts
+++ b/tests/shards_test.ts
@@ -219,3 +219,249 @@
     300_000,
   );
 });
+
+const CELLS: Readonly<Record<string, Types.AccountCell>> = {
+  x: { rate: 20, burst: 16 },
+};
+const X = "acct/s/x";
+
+function createQuietFleet(opts: Partial<Fakes.FleetOptions> = {}) {
+  const quiet = { loss: 0, late: 0, twice: 0 };
+  const fleet = Fakes.createFleet({ seed: SEED, noise: quiet, ...opts });
+  const table = Fakes.createTable(1, REGIONS, CELLS);
+  const getHolders = (domain: string) =>
+    [...fleet.nodes.values()].filter((one) =>
+      one.domain === domain && !one.isDead
+    );
+  return {
+    ...fleet,
+    table,
+    /** Starts `names` and waits until the shards are spread over them. */
+    async start(...names: readonly string[]): Promise<void> {
+      for (const id of names) fleet.addNode(id, `d${id[0]}`, table);
+      await fleet.time.advance(20_000);
+    },
+    budgets: (id: string) => fleet.get(id).budgets,
+    countShards: (domain: string) =>
+      getHolders(domain).flatMap((one) => one.budgets.getShards()).length,
+    cutBothWays(a: string, b: string): void {
+      fleet.cut(a, b);
+      fleet.cut(b, a);
+    },
+  };
+}
+
+describe("shards and leases", () => {
+  it("spreads the shards of a domain evenly over its instances, each once", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "a3", "b1");
+    const sizes = ["a1", "a2", "a3"].map((id) =>
+      fleet.budgets(id).getShards().length
+    );
+    expect(sizes.toSorted()).toEqual([2, 3, 3]);
+    const all = ["a1", "a2", "a3"].flatMap((id) =>
+      fleet.budgets(id).getShards()
+    );
+    expect(all.toSorted()).toEqual([0, 1, 2, 3, 4, 5, 6, 7]);
+    expect(fleet.budgets("b1").getShards()).toHaveLength(8);
+  });
+
+  it("guards against a holder that was paused past its lease and admits after it", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.pause("a1");
+    await fleet.time.advance(60_000);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+    // As its first requests after the pause, before any timer or answer.
+    expect(fleet.budgets("a1").tryTake(X, 0.1)).toBe(false);
+    expect((await fleet.budgets("a1").take(X, 0.1, 0)).isErr()).toBe(true);
+    fleet.resume("a1");
+    await fleet.time.advance(300);
+    expect(fleet.budgets("a1").isValid()).toBe(true);
+    const shards = fleet.budgets("a2").getShards().length;
+    expect(shards + fleet.budgets("a1").getShards().length).toBe(8);
+  });
+
+  it("guards against a take-over with tokens, from holder or borrower", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.kill("a1");
+    let taken = false;
+    for (let i = 0; i < 400 && !taken; i++) {
+      await fleet.time.advance(50);
+      taken = fleet.budgets("a2").getShards().length === 8;
+      // Only what its own four shards hold, and no refill for one loan period.
+      if (taken) {
+        expect(fleet.budgets("a2").getHolding(X).tokens).toBeLessThan(4.5);
+        await fleet.time.advance(1_900);
+        expect(fleet.budgets("a2").getHolding(X).tokens).toBeLessThan(4.5);
+        await fleet.time.advance(3_000);
+        expect(fleet.budgets("a2").getHolding(X).tokens).toBeCloseTo(8);
+      }
+    }
+    expect(taken).toBe(true);
+  });
+
+  it("leaves the shards of an instance that dies while the store is down, until one lease period after", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.setStoreUp(false);
+    fleet.kill("a1");
+    await fleet.time.advance(60_000);
+    expect(fleet.budgets("a2").getMode()).toBe("disconnected");
+    expect(fleet.budgets("a2").isValid()).toBe(true);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(4);
+    fleet.setStoreUp(true);
+    await fleet.time.advance(9_000);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(4);
+    await fleet.time.advance(8_000);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+  });
+
+  it("keeps an instance admitting that reaches the store only through a peer", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.cutBothWays("a1", "store");
+    for (let i = 0; i < 60; i++) {
+      await fleet.time.advance(1_000);
+      expect(fleet.budgets("a1").isValid()).toBe(true);
+    }
+    expect(fleet.budgets("a1").getMode()).toBe("connected");
+    expect(fleet.budgets("a1").getShards()).toHaveLength(4);
+  });
+
+  it("guards against spending after a process pause in disconnected mode, until peers confirmed", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.setStoreUp(false);
+    await fleet.time.advance(20_000);
+    expect(fleet.budgets("a1").getMode()).toBe("disconnected");
+    fleet.pause("a1");
+    await fleet.time.advance(1_500);
+    expect(fleet.budgets("a1").isValid()).toBe(false);
+    fleet.cutBothWays("a1", "a2");
+    fleet.resume("a1");
+    // The tick after the pause must not clear what only the peer can.
+    await fleet.time.advance(4_000);
+    expect(fleet.budgets("a1").isValid()).toBe(false);
+    fleet.heal();
+    await fleet.time.advance(8_000);
+    expect(fleet.budgets("a1").isValid()).toBe(true);
+  });
+
+  it("suspends beside a silent domain peer, unless it is gone or the setting says keep", async () => {
+    for (const onSilentPeer of ["suspend", "keep"] as const) {
+      const fleet = createQuietFleet({ onSilentPeer });
+      await fleet.start("a1", "a2", "b1");
+      fleet.cutBothWays("a1", "a2");
+      fleet.cutBothWays("a1", "store");
+      fleet.cutBothWays("b1", "store");
+      await fleet.time.advance(30_000);
+      const isKept = onSilentPeer === "keep";
+      expect(fleet.budgets("a1").isValid()).toBe(isKept);
+      expect(fleet.budgets("b1").isValid()).toBe(true);
+    }
+  });
+
+  it("guards against holding on beside a domain peer that still reaches the store", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2");
+    fleet.cutBothWays("a1", "store");
+    // The relayed renewals are lost on the way to the peer, heartbeats arrive.
+    fleet.cut("a1", "a2");
+    await fleet.time.advance(40_000);
+    expect(fleet.budgets("a1").isValid()).toBe(false);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+  });
+
+  it("hands every shard with its content to peers on a graceful shutdown", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.get("a1").state = "leaving";
+    const done = fleet.budgets("a1").handOverAll();
+    await fleet.time.advance(500);
+    await done;
+    expect(fleet.budgets("a1").getShards()).toEqual([]);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+    expect(fleet.budgets("a2").getHolding(X).tokens).toBeCloseTo(8);
+  });
+
+  it("guards against doubling the content of a handover whose message is lost or repeated", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.get("a1").state = "leaving";
+    const handler = fleet.get("a2").handlers.get("shards.handover")!;
+    const messages: unknown[] = [];
+    fleet.get("a2").handlers.set("shards.handover", (params) => {
+      messages.push(params);
+      return { isTaken: false };
+    });
+    void fleet.budgets("a1").handOverAll();
+    await fleet.time.advance(4_000);
+    expect(messages).toHaveLength(4);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+    while (fleet.budgets("a2").tryTake(X, 0.5));
+    for (const message of messages) void handler(message, "a1");
+    expect(fleet.budgets("a2").tryTake(X, 0.5)).toBe(false);
+  });
+
+  it("guards against two holders when a lapsed one returns during a take-over", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.kill("b1");
+    fleet.pause("a1");
+    for (let i = 0; i < 200; i++) {
+      await fleet.time.advance(100);
+      if (i === 120) fleet.resume("a1");
+      const held = ["a1", "a2"].filter((id) => fleet.budgets(id).isValid())
+        .flatMap((id) => fleet.budgets(id).getShards());
+      expect(new Set(held).size).toBe(held.length);
+    }
+    expect(fleet.countShards("da")).toBe(8);
+  });
+
+  it("keeps the content of a lapsed holder whose shards nobody took", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "b1");
+    fleet.pause("a1");
+    await fleet.time.advance(30_000);
+    fleet.resume("a1");
+    await fleet.time.advance(200);
+    expect(fleet.budgets("a1").getHolding(X).tokens).toBeCloseTo(8);
+    expect(fleet.budgets("a1").tryTake(X, 8)).toBe(true);
+  });
+
+  it("guards against a replacement that starts while its paused predecessor may still spend", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "b1");
+    const old = fleet.get("a1");
+    fleet.pause("a1");
+    const next = fleet.addNode("a1", "da", fleet.table);
+    for (let i = 0; i < 300; i++) {
+      await fleet.time.advance(100);
+      const both = old.budgets.isValid() && next.budgets.isValid();
+      expect(both).toBe(false);
+    }
+    expect(next.budgets.getShards()).toHaveLength(8);
+  });
+
+  it("shrinks at once and grows after the staleness limit, without new tokens", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "b1");
+    const cells = (burst: number) => ({ x: { rate: 1, burst } });
+    fleet.setTable("a1", Fakes.createTable(2, REGIONS, cells(4)));
+    expect(fleet.budgets("a1").getHolding(X)).toEqual({
+      tokens: 2,
+      rate: 0.5,
+      burst: 2,
+    });
+    fleet.setTable("a1", Fakes.createTable(3, REGIONS, cells(400)));
+    await fleet.time.advance(4_400);
+    expect(fleet.budgets("a1").getHolding(X).burst).toBe(2);
+    await fleet.time.advance(400);
+    expect(fleet.budgets("a1").getHolding(X).burst).toBe(200);
+    expect(fleet.budgets("a1").getHolding(X).tokens).toBeLessThan(3);
+    fleet.setTable("a1", Fakes.createTable(2, REGIONS, cells(1)));
+    expect(fleet.budgets("a1").getHolding(X).burst).toBe(200);
+  });
+});
