Keep a domain's shards when its other process has ended during an outage

Cause: the lease took a domain peer as gone only on a detail that names ECONNREFUSED, while the peer net reports 'connection refused', and forgets ended members after a while. So with the store down and one instance killed, the survivor of the domain suspended its holding when its lease ran out. Ruled out: freshness of keys (the survivor answered 130, not 104). Change: the lease compares with the peer net's own constant and remembers ended peers until they answer again. The fake net of the budget tests uses the same constant, so the two can't drift apart unseen. Before: tests/proofs/outage_test.ts fails, no answer but refusals 6 s after the kill.

--- a/src/budget/lease.ts
+++ b/src/budget/lease.ts
@@ -13,6 +13,7 @@
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
 import type * as Log from "../log.ts";
+import * as Dial from "../peer/dial.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
 import * as Messages from "./messages.ts";
@@ -74,6 +75,8 @@
 /** Creates the lease, not yet granted, and handles `lease.relay`. */
 export function createLease(deps: LeaseDeps): Lease {
   const { clock, cfg, health, log, peers, platform } = deps;
+  /** Domain peers whose address refused connections when they were asked last. */
+  const ended = new Set<Types.InstanceId>();
   let leaseId: string | undefined;
   let validUntilMs = -Infinity;
   let mode: "connected" | "disconnected" = "connected";
@@ -184,13 +187,24 @@
       params,
       timeoutMs,
     );
-    if (result.isErr()) return isRefused(result.error) ? "gone" : "silent";
+    if (result.isErr()) return judgeFailure(id, result.error);
+    ended.delete(id);
     const kind = result.value?.kind;
     return kind === "renewed" || kind === "lapsed" || kind === "unreachable"
       ? kind
       : "silent";
   }
 
+  /** A peer that refused connections stays gone after the peer net has forgotten it. */
+  function judgeFailure(
+    id: Types.InstanceId,
+    failure: ResultCodes.Failure,
+  ): RelayVerdict {
+    if (isRefused(failure)) ended.add(id);
+    else if (peers.tryGetMember(id) !== undefined) ended.delete(id);
+    return ended.has(id) ? "gone" : "silent";
+  }
+
   async function renewThroughPeers(): Promise<void> {
     const sentAtMs = clock.nowMs();
     const order = orderForRelay();
@@ -302,5 +316,5 @@
 /** True when the peer's address refused the connection, so that its process has ended. */
 function isRefused(failure: ResultCodes.Failure): boolean {
   return failure.code.number === ResultCodes.codes.peerUnreachable.number &&
-    failure.detail.includes("ECONNREFUSED");
+    failure.detail === Dial.REFUSED;
 }
--- a/tests/budget_fakes.ts
+++ b/tests/budget_fakes.ts
@@ -7,6 +7,7 @@
 import * as Budgets from "../src/budget/budgets.ts";
 import type * as Contracts from "../src/contracts.ts";
 import * as Log from "../src/log.ts";
+import * as Dial from "../src/peer/dial.ts";
 import * as ResultCodes from "../src/result_codes.ts";
 import type * as Types from "../src/types.ts";
 
@@ -286,7 +287,7 @@
         const work = async (): Promise<Result<T, Failure>> => {
           await travel(node.id, id, 5);
           if (nodes.get(id)?.isDead) {
-            return ResultCodes.fail("peerUnreachable", "ECONNREFUSED");
+            return ResultCodes.fail("peerUnreachable", Dial.REFUSED);
           }
           const isTwice = random() < noise.twice;
           if (isTwice) {
