--- a/testing/http_json.ts
+++ b/testing/http_json.ts
@@ -3,13 +3,6 @@
 import type * as Net from "node:net";
 import type * as Types from "../src/types.ts";
 
-/** A request that the server refuses with a status and an error code. */
-export interface HttpError {
-  readonly status: number;
-  readonly code: string;
-  readonly message: string;
-}
-
 /** What a JSON handler returns: a status and a JSON-safe body. */
 export interface JsonAnswer {
   readonly status: number;
