Keep members reachable after an unneeded connection closes

Change: the closing side announces the release; a member outside the own mesh counts as reachable by what others say, unless an own attempt or a lost connection after that shows otherwise.

--- a/src/peer/calls.ts
+++ b/src/peer/calls.ts
@@ -19,6 +19,12 @@
 /** Whether a peer answers; "refused" shows that its process has ended. */
 export type Reachability = "reachable" | "refused" | "silent" | "unknown";
 
+interface LinkChange {
+  readonly kind: "connected" | "lost" | "released";
+  /** Monotonic ms. */
+  readonly atMs: number;
+}
+
 /** Calls to peers, and the connections that calls alone need. */
 export interface Calls {
   call<T>(
@@ -32,8 +38,10 @@
   isFailing(id: Types.InstanceId): boolean;
   /** True when a recent call needs a connection to the instance. */
   isDemanded(id: Types.InstanceId): boolean;
-  /** A connection to the instance was closed. */
-  noteLost(id: Types.InstanceId): void;
+  /** Monotonic ms of the last failure to reach the instance that nothing has disproved; -Infinity when none. */
+  getFailedAtMs(id: Types.InstanceId): number;
+  /** The instance was connected, lost, or released because it was not needed. */
+  noteLink(id: Types.InstanceId, kind: LinkChange["kind"]): void;
   /** Drops what is kept of members that were forgotten. */
   forget(): void;
 }
@@ -48,25 +56,41 @@
   readonly clock: Clock.Clock;
 }): Calls {
   const { clock, dialer, members, registry } = args;
-  const lostAtMs = new Map<Types.InstanceId, number>();
+  const links = new Map<Types.InstanceId, LinkChange>();
   const demandUntilMs = new Map<Types.InstanceId, number>();
 
+  /** The last attempt, unless the link to the instance changed after it. */
+  function tryGetAttempt(id: Types.InstanceId): Dialer.Attempt | undefined {
+    const heartbeat = members.tryGetHeartbeat(id);
+    if (heartbeat === undefined) return undefined;
+    const state = dialer.tryGetState(heartbeat.peerAddress);
+    const attempt = state?.attempt;
+    const changedAtMs = links.get(id)?.atMs ?? -Infinity;
+    if (attempt === undefined || attempt.startedAtMs < changedAtMs) {
+      return undefined;
+    }
+    if (attempt.kind !== "connected") return attempt;
+    // Another instance answers at the address, so this one has ended.
+    const kind = state?.owner === id ? "silent" : "refused";
+    return { kind, startedAtMs: attempt.startedAtMs };
+  }
+
   function getReachability(id: Types.InstanceId): Reachability {
-    const member = members.tryGet(id);
-    if (member === undefined) return "unknown";
     if (registry.tryGet(id) !== undefined) {
-      return member.isReachable ? "reachable" : "silent";
+      return members.tryGet(id)?.isReachable ? "reachable" : "silent";
     }
-    const lost = lostAtMs.get(id) ?? -Infinity;
-    const state = dialer.tryGetState(member.heartbeat.peerAddress);
-    const attempt = state?.attempt;
-    // An attempt from before the connection was lost says nothing of now.
-    if (attempt === undefined || attempt.startedAtMs < lost) {
-      return lost === -Infinity ? "unknown" : "silent";
+    const attempt = tryGetAttempt(id);
+    if (attempt !== undefined && attempt.kind !== "connected") {
+      return attempt.kind;
     }
-    if (attempt.kind !== "connected") return attempt.kind;
-    // Another instance answers at the address, so this one has ended.
-    return state?.owner === id ? "silent" : "refused";
+    return links.get(id)?.kind === "lost" ? "silent" : "unknown";
+  }
+
+  function getFailedAtMs(id: Types.InstanceId): number {
+    const attempt = tryGetAttempt(id);
+    if (attempt !== undefined) return attempt.startedAtMs;
+    const link = links.get(id);
+    return link?.kind === "lost" ? link.atMs : -Infinity;
   }
 
   function isFailing(id: Types.InstanceId): boolean {
@@ -80,19 +104,17 @@
     return ResultCodes.fail("peerUnreachable", detail);
   }
 
-  function hasFreshFailure(member: Types.Member): boolean {
-    const state = dialer.tryGetState(member.heartbeat.peerAddress);
-    const startedAtMs = state?.attempt?.startedAtMs ?? -Infinity;
-    return isFailing(member.heartbeat.id) &&
-      clock.nowMs() - startedAtMs < ATTEMPT_FRESH_MS;
+  function hasFreshFailure(id: Types.InstanceId): boolean {
+    const attempt = tryGetAttempt(id);
+    return attempt !== undefined &&
+      clock.nowMs() - attempt.startedAtMs < ATTEMPT_FRESH_MS;
   }
 
   /** Waits for a connection to a member outside the mesh, or one that is just being made. */
   async function waitForConnection(
-    member: Types.Member,
+    { id, peerAddress }: Types.Heartbeat,
     timeoutMs: number,
   ): Promise<Connection.Connection | undefined> {
-    const { id, peerAddress } = member.heartbeat;
     const deadline = clock.nowMs() + timeoutMs;
     dialer.add(peerAddress, id);
     dialer.wake();
@@ -100,7 +122,7 @@
       const conn = registry.tryGet(id);
       const leftMs = deadline - clock.nowMs();
       if (conn !== undefined || leftMs <= 0) return conn;
-      if (hasFreshFailure(member)) return undefined;
+      if (hasFreshFailure(id)) return undefined;
       await args.changes.wait(Math.min(leftMs, RECHECK_MS));
     }
   }
@@ -116,11 +138,11 @@
       if (!args.isMeshed(id)) demandUntilMs.set(id, startedAtMs + DEMAND_MS);
       const open = registry.tryGet(id);
       if (open !== undefined) return open.call<T>(method, params, timeoutMs);
-      const member = members.tryGet(id);
-      if (member === undefined) {
+      const heartbeat = members.tryGetHeartbeat(id);
+      if (heartbeat === undefined) {
         return ResultCodes.fail("peerUnreachable", "unknown peer");
       }
-      const conn = await waitForConnection(member, timeoutMs);
+      const conn = await waitForConnection(heartbeat, timeoutMs);
       if (conn === undefined) return failUnreachable(id);
       const leftMs = timeoutMs - (clock.nowMs() - startedAtMs);
       return conn.call<T>(method, params, Math.max(1, leftMs));
@@ -128,10 +150,11 @@
     getReachability,
     isFailing,
     isDemanded: (id) => (demandUntilMs.get(id) ?? -Infinity) > clock.nowMs(),
-    noteLost: (id) => void lostAtMs.set(id, clock.nowMs()),
+    getFailedAtMs,
+    noteLink: (id, kind) => void links.set(id, { kind, atMs: clock.nowMs() }),
     forget() {
-      for (const id of lostAtMs.keys()) {
-        if (members.tryGet(id) === undefined) lostAtMs.delete(id);
+      for (const id of links.keys()) {
+        if (members.tryGetHeartbeat(id) === undefined) links.delete(id);
       }
       for (const [id, untilMs] of demandUntilMs) {
         if (untilMs < clock.nowMs()) demandUntilMs.delete(id);
--- a/src/peer/members.ts
+++ b/src/peer/members.ts
@@ -35,24 +35,29 @@
     askedAtMs: number,
   ): readonly Types.Heartbeat[];
   tryGet(id: Types.InstanceId): Types.Member | undefined;
+  /** What the member said last, without judging whether it is reachable. */
+  tryGetHeartbeat(id: Types.InstanceId): Types.Heartbeat | undefined;
   getAll(): readonly Types.Member[];
   /** Drops members that are long gone; `hasEnded` tells whose process has ended. */
   forget(hasEnded: (id: Types.InstanceId) => boolean): void;
 }
 
-/** Creates an empty table. `isMeshed` tells which members this instance connects to by itself. */
+/**
+ * Creates an empty table. `canRelay` tells whether a member without recent
+ * heartbeats counts as reachable because of what was known at `sentAtMs`; it is
+ * false for members of the own mesh and after a later failure to reach it.
+ */
 export function createMembers(
   self: Types.InstanceId,
-  isMeshed: (id: Types.InstanceId) => boolean,
+  canRelay: (id: Types.InstanceId, sentAtMs: number) => boolean,
   clock: Clock.Clock,
 ): Members {
   const records = new Map<Types.InstanceId, MemberRecord>();
 
   function isReachable(record: MemberRecord, ageMs: number): boolean {
-    if (record.isDirect) return ageMs < UNREACHABLE_AFTER_MS;
-    // What others reach does not help when the own link is lost.
-    if (isMeshed(record.heartbeat.id)) return false;
-    return record.wasReachable && ageMs < RELAYED_REACHABLE_MS;
+    if (record.isDirect && ageMs < UNREACHABLE_AFTER_MS) return true;
+    if (!record.wasReachable || ageMs >= RELAYED_REACHABLE_MS) return false;
+    return canRelay(record.heartbeat.id, record.sentAtMs);
   }
 
   function toMember(record: MemberRecord): Types.Member {
@@ -130,6 +135,7 @@
       const record = records.get(id);
       return record === undefined ? undefined : toMember(record);
     },
+    tryGetHeartbeat: (id) => records.get(id)?.heartbeat,
     getAll: () => [...records.values()].map(toMember),
     forget(hasEnded) {
       for (const [id, record] of records) {
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -16,6 +16,7 @@
 import * as Members from "./members.ts";
 import * as Mesh from "./mesh.ts";
 import * as Registry from "./registry.ts";
+import * as Release from "./release.ts";
 import * as Tasks from "./tasks.ts";
 
 /** Time between heartbeats. */
@@ -70,11 +71,10 @@
   const codecs = new WeakMap<Connection.Connection, Heartbeat.Codec>();
   const tools = new Set<Connection.Connection>();
   const listeners: ((heartbeat: Types.Heartbeat) => void)[] = [];
-  const closedBytes = { received: 0, sent: 0 };
   let mesh: ReadonlySet<Types.InstanceId> = new Set();
   let lastSeq = 0;
 
-  const members = Members.createMembers(self, (id) => mesh.has(id), clock);
+  const members = Members.createMembers(self, canRelay, clock);
   const identity: Handshake.Identity = {
     id: self,
     incarnation,
@@ -121,6 +121,12 @@
     clock,
   });
 
+  /** What others reach does not help when the own link should be there. */
+  function canRelay(id: Types.InstanceId, sentAtMs: number): boolean {
+    if (mesh.has(id) || registry.tryGet(id) !== undefined) return false;
+    return sentAtMs > calls.getFailedAtMs(id);
+  }
+
   function isWanted(id: Types.InstanceId): boolean {
     if (id === self || registry.tryGet(id) !== undefined) return false;
     return mesh.has(id) || calls.isDemanded(id);
@@ -134,13 +140,15 @@
       return;
     }
     if (!registry.add(conn)) return;
+    calls.noteLink(conn.remote.id, "connected");
     sendHeartbeat(conn, args.getHeartbeat());
     changes.notify();
     const reason = await conn.closed;
     registry.remove(conn);
-    closedBytes.received += conn.getBytes().received;
-    closedBytes.sent += conn.getBytes().sent;
-    calls.noteLost(conn.remote.id);
+    if (registry.tryGet(conn.remote.id) === undefined) {
+      const kind = Release.isRelease(reason) ? "released" : "lost";
+      calls.noteLink(conn.remote.id, kind);
+    }
     log.info("peer-connection-closed", { peer: conn.remote.id, reason });
     changes.notify();
   }
@@ -206,20 +214,15 @@
     if (isGrown) dialer.wake();
   }
 
-  function closeUnneeded(): void {
-    for (const conn of registry.getChosen()) {
-      const { id } = conn.remote;
-      const isOld = clock.nowMs() - conn.openedAtMs > Calls.DEMAND_MS;
-      if (!conn.isInitiator || !isOld || !conn.isIdle()) continue;
-      if (!mesh.has(id) && !calls.isDemanded(id)) conn.close("not needed");
-    }
-  }
-
   function sendHeartbeats(): void {
     members.forget((id) => calls.getReachability(id) === "refused");
     calls.forget();
     updateMesh();
-    closeUnneeded();
+    Release.closeUnneeded(
+      registry.getChosen(),
+      (id) => mesh.has(id) || calls.isDemanded(id),
+      clock,
+    );
     const heartbeat = args.getHeartbeat();
     for (const conn of registry.getAll()) sendHeartbeat(conn, heartbeat);
   }
@@ -239,6 +242,7 @@
   }
 
   server.addMethod("heartbeat", (p, conn) => receiveHeartbeat(p, conn));
+  Release.addMethod(server);
   server.addMethod(
     "members.list",
     (params) => listing.answer(params, args.getHeartbeat(), members.getAll()),
@@ -260,14 +264,7 @@
     addPeerAddresses: (addresses) => addresses.forEach((a) => dialer.add(a)),
     getReachability: calls.getReachability,
     getConnectedCount: () => registry.getChosen().length,
-    getBytes() {
-      const sum = { ...closedBytes };
-      for (const conn of registry.getAll()) {
-        sum.received += conn.getBytes().received;
-        sum.sent += conn.getBytes().sent;
-      }
-      return sum;
-    },
+    getBytes: registry.getBytes,
     async listen() {
       const address = await listener.listen();
       args.seeds.forEach((seed) => dialer.add(seed));
--- a/src/peer/registry.ts
+++ b/src/peer/registry.ts
@@ -26,6 +26,8 @@
   getAll(): readonly Connection.Connection[];
   /** The chosen connection of each connected peer. */
   getChosen(): readonly Connection.Connection[];
+  /** Bytes of all connections since the start. */
+  getBytes(): { readonly received: number; readonly sent: number };
   /** Closes connections without data for `maxSilentTicks`, and spare ones. */
   tick(maxSilentTicks: number): void;
 }
@@ -50,6 +52,7 @@
   log: Log.Logger,
 ): Registry {
   const byId = new Map<Types.InstanceId, readonly Connection.Connection[]>();
+  const closedBytes = { received: 0, sent: 0 };
   const spareTicks = new Map<Connection.Connection, number>();
 
   function isOwn(conn: Connection.Connection): boolean {
@@ -76,8 +79,12 @@
 
   function remove(conn: Connection.Connection): void {
     const { id } = conn.remote;
-    const left = (byId.get(id) ?? []).filter((one) => one !== conn);
+    const all = byId.get(id) ?? [];
+    const left = all.filter((one) => one !== conn);
     spareTicks.delete(conn);
+    if (left.length === all.length) return;
+    closedBytes.received += conn.getBytes().received;
+    closedBytes.sent += conn.getBytes().sent;
     if (left.length === 0) byId.delete(id);
     else byId.set(id, left);
   }
@@ -105,6 +112,14 @@
     getAll: () => [...byId.values()].flat(),
     getChosen: () =>
       [...byId.values()].flatMap((all) => all[0] === undefined ? [] : [all[0]]),
+    getBytes() {
+      const sum = { ...closedBytes };
+      for (const conn of [...byId.values()].flat()) {
+        sum.received += conn.getBytes().received;
+        sum.sent += conn.getBytes().sent;
+      }
+      return sum;
+    },
     tick(maxSilentTicks) {
       for (const all of [...byId.values()]) {
         for (const [index, conn] of all.entries()) {
--- a/tests/peer_test.ts
+++ b/tests/peer_test.ts
@@ -2,11 +2,13 @@
 import * as NodeNet from "node:net";
 import { afterEach, describe, expect, it, vi } from "vitest";
 import * as Client from "../src/peer/client.ts";
+import type * as Connection from "../src/peer/connection.ts";
 import * as Handshake from "../src/peer/handshake.ts";
 import * as Heartbeat from "../src/peer/heartbeat.ts";
 import * as Listing from "../src/peer/listing.ts";
 import * as Members from "../src/peer/members.ts";
 import * as Mesh from "../src/peer/mesh.ts";
+import * as Release from "../src/peer/release.ts";
 import * as Wire from "../src/peer/wire.ts";
 import * as Rendezvous from "../src/rendezvous.ts";
 import type * as Types from "../src/types.ts";
@@ -493,11 +495,45 @@
   });
 });
 
+describe("release", () => {
+  it("closes only old idle connections that nothing needs, and says so first", () => {
+    const told: string[] = [];
+    const create = (
+      id: string,
+      fields: Partial<Connection.Connection> = {},
+    ) => ({
+      remote: { ...STRANGER, id },
+      isInitiator: true,
+      openedAtMs: 0,
+      isIdle: () => true,
+      notify: (method: string) => void told.push(`${id} ${method}`),
+      close: (reason: string) =>
+        void told.push(`${id} ${Release.isRelease(reason)}`),
+      ...fields,
+    } as Connection.Connection);
+    const connections = [
+      create("unneeded"),
+      create("needed"),
+      create("busy", { isIdle: () => false }),
+      create("young", { openedAtMs: 99_000 }),
+      create("theirs", { isInitiator: false }),
+    ];
+    const clock = { nowMs: () => 100_000, wallMs: () => 0 };
+    Release.closeUnneeded(connections, (id) => id === "needed", clock);
+    expect(told).toEqual(["unneeded connection.release", "unneeded true"]);
+    expect(Release.isRelease("closed by the other side")).toBe(false);
+  });
+});
+
 describe("membership", () => {
   function createCase(isMeshed: boolean) {
-    const state = { nowMs: 10_000 };
+    const state = { nowMs: 10_000, failedAtMs: -Infinity };
     const clock = { nowMs: () => state.nowMs, wallMs: () => 0 };
-    const members = Members.createMembers("a", () => isMeshed, clock);
+    const members = Members.createMembers(
+      "a",
+      (_, sentAtMs) => !isMeshed && sentAtMs > state.failedAtMs,
+      clock,
+    );
     return { state, members };
   }
   const toMember = (heartbeat: Types.Heartbeat, ageMs = 100) => ({
@@ -546,6 +582,23 @@
     expect(members.tryGet("c")?.isReachable).toBe(false);
   });
 
+  it("takes others' word only from after the own failure to reach a member", () => {
+    const { state, members } = createCase(false);
+    const heartbeat = Helpers.createHeartbeat("c", "d");
+    members.noteHeartbeat({ heartbeat, sentAtMs: 10_000 });
+    state.nowMs = 20_000;
+    expect(members.tryGet("c")?.isReachable).toBe(true);
+    state.failedAtMs = 15_000;
+    expect(members.tryGet("c")?.isReachable).toBe(false);
+    members.noteChanges(
+      { version: 1, members: [], ages: { c: 9_000 } },
+      20_000,
+    );
+    expect(members.tryGet("c")?.isReachable).toBe(false);
+    members.noteChanges({ version: 2, members: [], ages: { c: 100 } }, 20_000);
+    expect(members.tryGet("c")?.isReachable).toBe(true);
+  });
+
   it("prefers what a member said itself, and forgets ended ones", () => {
     const { state, members } = createCase(false);
     const heartbeat = Helpers.createHeartbeat("c", "d");
