Assign slots faster, and count only live targets in a doubted list

Cause: a change of instances blocked the event loop while slots were assigned anew, mostly in comparisons of domain names; and targets that were already leaving counted as dropped, so that a real drop beside them could be doubted.

Change: instances are grouped by weight once per domain, and the inner loop runs over an Int32Array. Only targets that were listed as live count as dropped. The target stand-in has tests.

--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -63,28 +63,38 @@
     health.setState(entry, "leaving", reason);
   }
 
-  /** Marks what the list no longer names, and doubts a list that drops most of a service. */
+  /** Services of which the list drops more than half of the live targets. */
+  function getDoubted(
+    listed: ReadonlySet<Types.TargetId>,
+  ): ReadonlySet<Types.Service> {
+    const live = new Map<Types.Service, number>();
+    const lost = new Map<Types.Service, number>();
+    for (const { info, isListedLive } of entries.values()) {
+      if (!isListedLive) continue;
+      live.set(info.service, (live.get(info.service) ?? 0) + 1);
+      if (listed.has(info.id)) continue;
+      lost.set(info.service, (lost.get(info.service) ?? 0) + 1);
+    }
+    const doubted = [...lost].filter(([service, count]) =>
+      count * 2 > (live.get(service) ?? 0)
+    );
+    return new Set(doubted.map(([service]) => service));
+  }
+
+  /** Marks what the list no longer names; a drop of most of a service is doubted for a while. */
   function dropMissing(listed: ReadonlySet<Types.TargetId>): void {
     const now = nowMs();
-    const known = new Map<Types.Service, number>();
-    const dropped: Entry.Entry[] = [];
+    const doubted = getDoubted(listed);
     for (const entry of entries.values()) {
-      if (!entry.isListed) continue;
-      const { service } = entry.info;
-      if (entry.isListedLive) known.set(service, (known.get(service) ?? 0) + 1);
-      if (!listed.has(entry.info.id)) dropped.push(entry);
-    }
-    for (const entry of dropped) {
-      const { service } = entry.info;
-      const count = dropped.filter((other) => other.info.service === service);
-      const isMassDrop = count.length * 2 > (known.get(service) ?? 0);
+      if (!entry.isListed || listed.has(entry.info.id)) continue;
       entry.isListed = false;
       entry.isListedLive = false;
       entry.droppedAtMs = now;
       const isAlive = now - entry.lastProbeOkMs < PROBE_OK_RECENT_MS;
-      const isHeld = isMassDrop && isAlive && Entry.isUsable(entry);
-      if (isHeld) entry.heldUntilMs = now + MASS_DROP_HOLD_MS;
-      else drop(entry, "dropped-from-list");
+      const isDoubted = doubted.has(entry.info.service) && isAlive;
+      if (isDoubted && Entry.isUsable(entry)) {
+        entry.heldUntilMs = now + MASS_DROP_HOLD_MS;
+      } else drop(entry, "dropped-from-list");
     }
   }
 
--- a/src/targets/pool.ts
+++ b/src/targets/pool.ts
@@ -61,7 +61,7 @@
   const slotListeners: ((service: Types.Service) => void)[] = [];
   let wantProbe: (entry: Entry.Entry) => void = () => {};
 
-  let instances: readonly Rendezvous.LiveInstance[] = [];
+  let candidates = Rendezvous.createCandidates([]);
   let instancesKey = "";
   let slotsEpoch = 0;
   let instancesCheckedMs = -Infinity;
@@ -79,14 +79,14 @@
       .join("\n");
     if (key === instancesKey) return;
     instancesKey = key;
-    instances = next;
+    candidates = Rendezvous.createCandidates(next);
     slotsEpoch++;
   }
 
   /** Assigns slots on use, so that a change of instances costs no long pause. */
   function refreshSlots(entry: Entry.Entry): void {
     if (entry.ownSlotsEpoch === slotsEpoch) return;
-    entry.ownSlots = Rendezvous.getOwnSlots(entry.info, self, instances);
+    entry.ownSlots = Rendezvous.getOwnSlots(entry.info, self, candidates);
     entry.ownSlotsEpoch = slotsEpoch;
   }
 
@@ -176,7 +176,7 @@
     getEntries: directory.getAll,
     getCounts: () => ({
       targets: directory.getCount(),
-      instances: instances.length,
+      instances: candidates.size,
     }),
     isOwner(entry) {
       refreshSlots(entry);
--- a/src/targets/rendezvous.ts
+++ b/src/targets/rendezvous.ts
@@ -18,13 +18,13 @@
 const WEIGHT_SAME_REGION = 2;
 const WEIGHT_OTHER = 1;
 
-/** FNV-1a over UTF-16 code units, 32 bits. */
+/** FNV-1a over UTF-16 code units, signed 32 bits. */
 export function hashText(text: string): number {
   let hash = 0x811c9dc5;
   for (let i = 0; i < text.length; i++) {
     hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
   }
-  return hash >>> 0;
+  return hash | 0;
 }
 
 /** Finalizer of MurmurHash3: spreads each input bit over all output bits. */
@@ -32,47 +32,114 @@
   let x = value;
   x = Math.imul(x ^ (x >>> 16), 0x85ebca6b);
   x = Math.imul(x ^ (x >>> 13), 0xc2b2ae35);
-  return (x ^ (x >>> 16)) >>> 0;
+  return x ^ (x >>> 16);
+}
+
+/** Instances that have the same weight for a target. */
+interface WeightClass {
+  readonly weight: number;
+  readonly instances: readonly LiveInstance[];
+  /** Hashes of the instances, as an array of integers for the inner loop. */
+  readonly hashes: Int32Array;
+}
+
+/** The live instances, prepared for the assignment of slots. */
+export interface Candidates {
+  readonly size: number;
+  /** The instances by their weight for targets of a domain. */
+  getClasses(
+    domain: Types.Domain,
+    region: Types.Region,
+  ): readonly WeightClass[];
 }
 
 function getWeight(
-  target: Types.PlatformInstance,
   instance: LiveInstance,
+  domain: Types.Domain,
+  region: Types.Region,
 ): number {
-  if (instance.domain === target.domain) return WEIGHT_SAME_DOMAIN;
-  if (instance.region === target.region) return WEIGHT_SAME_REGION;
-  return WEIGHT_OTHER;
+  if (instance.domain === domain) return WEIGHT_SAME_DOMAIN;
+  return instance.region === region ? WEIGHT_SAME_REGION : WEIGHT_OTHER;
 }
 
-/** Score of one instance for one slot; the highest score owns the slot. */
-function getScore(slotHash: number, idHash: number, weight: number): number {
-  const uniform = (mix(slotHash ^ idHash) + 0.5) / 2 ** 32;
+/** Prepares instances, once per change; targets of a domain share the classes. */
+export function createCandidates(
+  instances: readonly LiveInstance[],
+): Candidates {
+  // The order decides between equal hashes, so all instances need the same one.
+  const sorted = instances.toSorted((a, b) => a.id < b.id ? -1 : 1);
+  const known = new Map<string, readonly WeightClass[]>();
+
+  function createClasses(
+    domain: Types.Domain,
+    region: Types.Region,
+  ): readonly WeightClass[] {
+    const weights = [WEIGHT_SAME_DOMAIN, WEIGHT_SAME_REGION, WEIGHT_OTHER];
+    return weights.map((weight) => {
+      const members = sorted.filter((each) =>
+        getWeight(each, domain, region) === weight
+      );
+      const hashes = Int32Array.from(members, ({ id }) => mix(hashText(id)));
+      return { weight, instances: members, hashes };
+    });
+  }
+
+  return {
+    size: instances.length,
+    getClasses(domain, region) {
+      const key = `${domain}\n${region}`;
+      const classes = known.get(key) ?? createClasses(domain, region);
+      known.set(key, classes);
+      return classes;
+    },
+  };
+}
+
+/** Weighted rendezvous score of a hash; the highest score owns the slot. */
+function getScore(hash: number, weight: number): number {
+  const uniform = (hash + 2 ** 31 + 0.5) / 2 ** 32;
   return -weight / Math.log(uniform);
 }
 
+/** Owner of a slot; undefined without candidates. */
+function tryGetOwner(
+  slotHash: number,
+  classes: readonly WeightClass[],
+): Types.InstanceId | undefined {
+  let owner: Types.InstanceId | undefined;
+  let bestScore = -Infinity;
+  for (const { weight, instances, hashes } of classes) {
+    // Within a weight the highest hash has the highest score.
+    let bestHash = -(2 ** 31) - 1;
+    let place = -1;
+    for (let i = 0; i < hashes.length; i++) {
+      const hash = mix(slotHash ^ (hashes[i] ?? 0));
+      if (hash <= bestHash) continue;
+      bestHash = hash;
+      place = i;
+    }
+    const best = instances[place];
+    if (best === undefined) continue;
+    const score = getScore(bestHash, weight);
+    if (score <= bestScore) continue;
+    bestScore = score;
+    owner = best.id;
+  }
+  return owner;
+}
+
 /** Numbers of the target's slots that `self` owns, ascending. */
 export function getOwnSlots(
   target: Types.PlatformInstance,
   self: Types.InstanceId,
-  instances: readonly LiveInstance[],
+  candidates: Candidates,
 ): readonly number[] {
   const targetHash = hashText(target.id);
-  const candidates = instances.map((instance) => ({
-    id: instance.id,
-    hash: mix(hashText(instance.id)),
-    weight: getWeight(target, instance),
-  }));
+  const classes = candidates.getClasses(target.domain, target.region);
   const own: number[] = [];
   for (let slot = 0; slot < target.slots; slot++) {
     const slotHash = mix(targetHash + Math.imul(slot + 1, 0x9e3779b9));
-    let owner = self;
-    let best = -Infinity;
-    for (const { id, hash, weight } of candidates) {
-      const score = getScore(slotHash, hash, weight);
-      const isBetter = score > best || (score === best && id < owner);
-      if (isBetter) [best, owner] = [score, id];
-    }
-    if (owner === self) own.push(slot);
+    if (tryGetOwner(slotHash, classes) === self) own.push(slot);
   }
   return own;
 }
--- a/tests/targets_test.ts
+++ b/tests/targets_test.ts
@@ -33,6 +33,10 @@
   }));
 }
 
+function candidates(count: number): Rendezvous.Candidates {
+  return Rendezvous.createCandidates(entryInstances(count));
+}
+
 /** A pool as instance i0 under a clock that the test moves. */
 function createRig(instances = entryInstances(1)) {
   let now = 1_000;
@@ -95,7 +99,7 @@
       FastCheck.property(arbitrary, ({ count, slots, id }) => {
         const info = target(id, { slots });
         const own = (self: string, n: number) =>
-          Rendezvous.getOwnSlots(info, self, entryInstances(n));
+          Rendezvous.getOwnSlots(info, self, candidates(n));
         const owned = entryInstances(count).flatMap((each) =>
           own(each.id, count)
         );
@@ -120,7 +124,7 @@
         const own = Rendezvous.getOwnSlots(
           target(`t${i}`),
           each.id,
-          entryInstances(4),
+          candidates(4),
         );
         all += own.length;
         if (each.domain === "l-1") sameDomain += own.length;
@@ -388,6 +392,18 @@
     expect(rig.stateOf("t4")).toBe("cold");
   });
 
+  it("takes a drop at its word while other targets of the service leave", () => {
+    const rig = createRig();
+    const list = ["t0", "t1", "t2", "t3"];
+    rig.pool.setInstances(list.map((id) => target(id)));
+    list.forEach((id) => rig.probe(id));
+    const left = [target("t0"), target("t1")];
+    const leaving = target("t2", { state: "leaving" });
+    rig.pool.setInstances([...left, leaving, target("t3")]);
+    rig.pool.setInstances(left);
+    expect(rig.stateOf("t3")).toBe("leaving");
+  });
+
   it("does not believe a stale list that shows a leaving target as live again", () => {
     const rig = createRig();
     const others = [target("t1"), target("t2")];
@@ -535,3 +551,71 @@
     expect(Prober.getProbeIntervalMs(40, 620, false)).toBeGreaterThan(40_000);
   });
 });
+
+describe("target stand-in", () => {
+  const running: StandIn.StandIn[] = [];
+  afterEach(async () => {
+    await Promise.all(running.splice(0).map((each) => each.close()));
+  });
+
+  async function start(more: Partial<StandIn.StandInOptions> = {}) {
+    const place = { id: "t", service: "s", domain: "l-1", region: "l" };
+    const work = { slots: 2, serviceMs: 1 };
+    const opts = { ...place, ...work, ...more };
+    const standIn = await StandIn.createTargetStandIn(opts);
+    running.push(standIn);
+    const base = `http://${standIn.listen}`;
+    const get = async (path: string) => {
+      const res = await fetch(`${base}${path}`);
+      return { res, body: await res.text() };
+    };
+    return { standIn, get, base };
+  }
+
+  it("records what it ran and received, and what it refused", async () => {
+    const { standIn, get, base } = await start();
+    const headers = { "Anvilroute-Request-Id": "r1", "Idempotency-Key": "k1" };
+    const sent = { method: "POST", body: "lot", headers };
+    const echo = await (await fetch(`${base}/orders?x=1`, sent)).json();
+    expect(echo).toMatchObject({ execution: 1, requestId: "r1" });
+    const all = [1, 2, 3].map(() => get("/busy?ms=100"));
+    const statuses = (await Promise.all(all)).map(({ res }) => res.status);
+    expect(statuses.toSorted()).toEqual([200, 200, 503]);
+    const [first] = standIn.getRecords();
+    expect(first).toMatchObject({
+      path: "/orders?x=1",
+      idempotencyKey: "k1",
+      outcome: "executed",
+      isAnswerComplete: true,
+      requestBodyBytes: 3,
+    });
+    expect(first?.headers).toContainEqual(["Anvilroute-Request-Id", "r1"]);
+    const outcomes = standIn.getRecords().map((record) => record.outcome);
+    expect(outcomes.filter((outcome) => outcome === "shed").length).toBe(1);
+  });
+
+  it("shows the faults that are set, and refuses unknown ones", async () => {
+    const { standIn, get } = await start();
+    expect((await get("/a?bytes=300000")).body.length).toBe(300_000);
+    expect(() => standIn.setFaults({ truncate: 1 })).toThrow("unknown fault");
+    standIn.setFaults({ truncateAfterBytes: 1_000, only: "cut" });
+    await expect(get("/cut?bytes=300000")).rejects.toThrow();
+    expect((await get("/whole?bytes=300000")).body.length).toBe(300_000);
+    standIn.setFaults({ truncateAfterBytes: null, resetAfterExecuting: true });
+    await expect(get("/cut")).rejects.toThrow();
+    expect(standIn.getRecords().at(-1)).toMatchObject({
+      outcome: "executed",
+      isAnswerComplete: false,
+    });
+  });
+
+  it("crashes on the given path and comes back when told to", async () => {
+    const { standIn, get } = await start({ crashOn: "boom" });
+    standIn.setFaults({ crashMode: "restart", restartMs: 50 });
+    await expect(get("/boom")).rejects.toThrow();
+    expect(standIn.getRecords()[0]?.outcome).toBe("crashed");
+    await vi.waitFor(async () => {
+      expect((await get("/fine")).res.status).toBe(200);
+    }, 3_000);
+  });
+});
