Say not run of an order only when its ledger has no run of it

A refusal before the ledger was asked (blocked as poison, withdrawn key, keys not current, slow body) said not-run whatever an earlier transmission of the same ticket had done. Seen in tests/proofs/once_test.ts: an order executed at a target that reset the connection, its like was blocked after a second target, and the resend of the first got 422 not-run at all four instances.

Ruled out: the ledger itself (its entry was unknown) and the relay.

Early refusals now ask the ledger: not-run at the issuer without a run on record, else unknown. Poison blocks of once routes apply after the claim.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -44,9 +44,14 @@
       abort,
     });
     if (prepared.isErr()) {
-      Respond.sendRefusal(res, prepared.error, requestId);
+      const outcome = Once.getEarlyOutcome(
+        deps,
+        Headers.toPairs(req.rawHeaders),
+      );
+      const refusal = { ...prepared.error, outcome };
+      Respond.sendRefusal(res, refusal, requestId);
       req.resume();
-      recordEarly(deps, prepared.error, startedAtMs);
+      recordEarly(deps, refusal, startedAtMs);
       return;
     }
     const { ctx, dispose } = prepared.value;
@@ -115,7 +120,8 @@
     route,
     body.value,
   );
-  if (deps.poison.isBlocked(fingerprint)) {
+  // The ledger decides first on `once` routes, see `serveOnce`.
+  if (!isOnce && deps.poison.isBlocked(fingerprint)) {
     dispose();
     return Err(Respond.refuse("poisoned", "not-run"));
   }
--- a/src/admission/once.ts
+++ b/src/admission/once.ts
@@ -11,6 +11,7 @@
 import * as Headers from "../forward/headers.ts";
 import * as Respond from "../forward/respond.ts";
 import * as Relay from "../once/relay.ts";
+import type * as Types from "../types.ts";
 import * as Account from "./account.ts";
 import * as Context from "./context.ts";
 import * as Run from "./run.ts";
@@ -24,6 +25,20 @@
 
 type VerifiedTicket = Contracts.Ticket & { readonly isExpired: boolean };
 
+/**
+ * Outcome of a request that is refused before the ledger is asked. A ticket
+ * that was sent before may have run, and only its owner knows.
+ */
+export function getEarlyOutcome(
+  deps: Context.Deps,
+  pairs: Headers.HeaderPairs,
+): Types.Outcome {
+  const text = Headers.tryGetHeader(pairs, TICKET_HEADER);
+  const ticket = text === undefined ? undefined : deps.tickets.read(text);
+  if (ticket === undefined || ticket.isErr()) return "not-run";
+  return deps.ledger.mayHaveRun(ticket.value) ? "unknown" : "not-run";
+}
+
 /** Serves a request of a `once` route and writes the answer. */
 export async function serveOnce(
   deps: Context.Deps,
@@ -89,6 +104,11 @@
   const claim = await deps.ledger.claim(ticket, ctx.fingerprint, ctx.signal);
   switch (claim.kind) {
     case "run":
+      // Asked only now, because an earlier transmission may have run before its like was blocked.
+      if (deps.poison.isBlocked(ctx.fingerprint)) {
+        claim.run.notRun();
+        return refuse(ctx, "poisoned", "not-run");
+      }
       return await runClaimed(deps, ctx, ticket, claim.run);
     case "answer":
       Respond.sendAnswer(ctx.res, claim.answer, ctx.id, true);
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -258,6 +258,10 @@
     service: Types.Service,
     count: number,
   ): readonly string[];
+  /** `ticketInvalid` when malformed or forged; whose ticket it is is not checked. */
+  read(
+    text: string,
+  ): Result<Ticket & { readonly isExpired: boolean }, Failure>;
   /** `ticketInvalid` or, for a good MAC past its time, a ticket with `isExpired`. */
   verify(
     text: string,
@@ -298,6 +302,8 @@
     fingerprint: string,
     signal: AbortSignal,
   ): Promise<Claim>;
+  /** False when the ticket's request certainly did not run: this instance answers for the ticket and has no run on record. */
+  mayHaveRun(ticket: Ticket & { readonly isExpired: boolean }): boolean;
   /** True when this instance issued the ticket or adopted its issuer's ledger. */
   isOwner(issuer: Types.InstanceId, incarnation: string): boolean;
   /** Where a leaving issuer's ledger went, as far as known. */
--- a/src/once/handover.ts
+++ b/src/once/handover.ts
@@ -208,6 +208,9 @@
   return {
     sweepIntervalMs: SWEEP_INTERVAL_MS,
     claim: local.claim,
+    mayHaveRun: (ticket) =>
+      !owned.has(getOwnerKey(ticket.issuer, ticket.incarnation)) ||
+      local.mayHaveRun(ticket),
     sweep: local.sweep,
     getSize: local.getSize,
     isOwner: (issuer, incarnation) =>
--- a/src/once/ledger.ts
+++ b/src/once/ledger.ts
@@ -39,6 +39,7 @@
 /** Ledger without its network side; `src/once/handover.ts` adds that. */
 export interface LocalLedger {
   claim: Contracts.Ledger["claim"];
+  mayHaveRun: Contracts.Ledger["mayHaveRun"];
   /** Accepts no claim from now on. */
   seal(): void;
   /** Another instance may own the tickets now: nothing here is known to be not run. */
@@ -192,6 +193,11 @@
 
   return {
     claim,
+    mayHaveRun(ticket) {
+      const entry = entries.get(ticket.id);
+      if (entry === undefined) return ticket.isExpired || isTransferred;
+      return entry.state.kind !== "not-run" || isTransferred;
+    },
     seal() {
       isSealed = true;
     },
--- a/src/once/tickets.ts
+++ b/src/once/tickets.ts
@@ -50,11 +50,11 @@
     return `${payload}.${getMac(payload)}`;
   }
 
-  return {
+  const tickets: Contracts.Tickets = {
     issue(account, service, count) {
       return Array.from({ length: count }, () => issueOne(account, service));
     },
-    verify(text, account, service) {
+    read(text) {
       const fields = text.length > MAX_TICKET_CHARS ? [] : text.split(".");
       if (fields.length !== FIELD_COUNT || fields[0] !== VERSION) {
         return ResultCodes.fail("ticketInvalid", "malformed");
@@ -63,15 +63,9 @@
       if (!isSameText(fields.at(-1) ?? "", getMac(payload))) {
         return ResultCodes.fail("ticketInvalid", "not issued here");
       }
-      const [, issuer = "", incarnation = "", owner, forService, expires] =
+      const [, issuer = "", incarnation = "", account = "", service = ""] =
         fields;
-      if (owner !== account || forService !== service) {
-        return ResultCodes.fail(
-          "ticketInvalid",
-          "issued for another account or service",
-        );
-      }
-      const expiresAtMs = parseInt(expires ?? "0", 36);
+      const expiresAtMs = parseInt(fields[5] ?? "0", 36);
       return Ok({
         id: payload,
         issuer,
@@ -82,7 +76,18 @@
         isExpired: expiresAtMs <= opts.clock.wallMs(),
       });
     },
+    verify(text, account, service) {
+      return tickets.read(text).andThen((ticket) =>
+        ticket.account === account && ticket.service === service
+          ? Ok(ticket)
+          : ResultCodes.fail(
+            "ticketInvalid",
+            "issued for another account or service",
+          )
+      );
+    },
   };
+  return tickets;
 }
 
 function isSameText(a: string, b: string): boolean {
--- a/testing/fleet/network.ts
+++ b/testing/fleet/network.ts
@@ -41,6 +41,9 @@
   close(): Promise<void>;
 }
 
+/** Sees the bytes of every connection through the network, in order, per connection and direction. */
+export type Tap = (connection: string, chunk: Buffer) => void;
+
 interface Link {
   readonly from: string;
   readonly to: string;
@@ -48,7 +51,11 @@
 }
 
 /** Creates a network of the given domains. */
-export function createNetwork(domains: readonly string[]): TestNetwork {
+export function createNetwork(
+  domains: readonly string[],
+  tap?: Tap,
+): TestNetwork {
+  let connections = 0;
   const ips = new Map(
     domains.map((domain, i) => [domain, `127.0.1.${i + 1}`]),
   );
@@ -119,6 +126,11 @@
       });
       onward.setNoDelay(true);
       client.setNoDelay(true);
+      if (tap !== undefined) {
+        const name = `${from}>${place}#${++connections}`;
+        client.on("data", (chunk: Buffer) => tap(`${name} out`, chunk));
+        onward.on("data", (chunk: Buffer) => tap(`${name} back`, chunk));
+      }
       join(client, onward);
     }
 
--- /dev/null
+++ b/testing/fleet/proof.ts
@@ -0,0 +1,84 @@
+/** The fleet that the proofs of requests run on: two instances in one domain, so that a ledger can be handed over. */
+import type * as Types from "../../src/types.ts";
+import * as Fleet from "./fleet.ts";
+import type * as Layout from "./layout.ts";
+import * as Network from "./network.ts";
+import * as Requests from "./requests.ts";
+import * as Small from "./small.ts";
+
+/** Three domains, four instances, six targets. */
+export const proofLayout: Layout.FleetLayout = {
+  ...Small.smallLayout,
+  name: "proof",
+  domains: [
+    { domain: "north-1", region: "north", instances: 2 },
+    { domain: "north-2", region: "north", instances: 1 },
+    { domain: "south-1", region: "south", instances: 1 },
+  ],
+  services: [{ service: "booking", workers: 6, slots: 8, serviceMs: 5 }],
+};
+
+/** A fleet, its network, and the journal of its requests. */
+export interface ProofFleet extends Fleet.Fleet {
+  readonly network: Network.TestNetwork;
+  readonly journal: Requests.Journal;
+  /** The running instance with this id; throws when there is none. */
+  getInstance(id: string): Fleet.FleetInstance;
+  /** All running instances. */
+  getRunning(): readonly Fleet.FleetInstance[];
+  /** Sets the same faults at every running target. */
+  setTargetFaults(faults: unknown): Promise<void>;
+}
+
+/** What can be changed. */
+export interface ProofOptions {
+  readonly table?: Small.SmallTable;
+  readonly settings?: Fleet.FleetOptions["settings"];
+  readonly tap?: Network.Tap;
+}
+
+/** Starts the fleet. */
+export async function startProofFleet(
+  opts: ProofOptions = {},
+): Promise<ProofFleet> {
+  const network = Network.createNetwork(
+    [...proofLayout.domains.map((one) => one.domain)],
+    opts.tap,
+  );
+  const fleet = await Fleet.startFleet({
+    layout: proofLayout,
+    tableCsv: Small.formatSmallTable({
+      deadlineMs: 3_000,
+      clubRate: 400,
+      clubBurst: 400,
+      hutRate: 200,
+      hutBurst: 200,
+      ...opts.table,
+    }),
+    network,
+    settings: { lookupMaxAgeMs: 500, ...opts.settings },
+  });
+  const journal = Requests.createJournal(fleet);
+  const getRunning = () =>
+    fleet.instances.filter((one) => one.process.isRunning());
+  return {
+    ...fleet,
+    network,
+    journal,
+    getRunning,
+    getInstance(id: Types.InstanceId) {
+      const found = getRunning().find((one) => one.id === id);
+      if (found === undefined) throw new Error(`no instance ${id}`);
+      return found;
+    },
+    async setTargetFaults(faults) {
+      await Promise.all(fleet.targets.map(async (one) => {
+        if (one.process.isRunning()) await one.setFaults(faults);
+      }));
+    },
+    async stop() {
+      await journal.close();
+      await fleet.stop();
+    },
+  };
+}
