Let a holder past its validity be taken over, and test more races

Cause: a holder that can't spend still claimed its shards when asked, so that they stayed unused while it was cut off from the store. Found by the new test of a lost take-over (3 of 8 shards unused after 20 s). Change: shards.confirm answers also whether the holder may spend; tests for races of take-over and return, lost answers, handover of lent tokens, renewals counted from the answer. Conclusion: no shard stays blocked by a holder that can't use it.

--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -49,6 +49,8 @@
 /** The shards of the request that the answering instance holds. */
 export interface ConfirmAnswer {
   readonly held: readonly number[];
+  /** False when it may not spend them; it then resumes only after a confirmation. */
+  readonly isValid: boolean;
 }
 
 /** `shards.handover`: the store names you as holder; here is the content. */
--- a/src/budget/ownership.ts
+++ b/src/budget/ownership.ts
@@ -233,7 +233,7 @@
     );
     const answer = result.isOk() &&
       Messages.tryReadConfirmAnswer(result.value);
-    return answer ? answer.held.includes(shard) : false;
+    return answer ? answer.isValid && answer.held.includes(shard) : false;
   }
 
   /** Domain peers that can receive a shard: registered, live and with the same table. */
@@ -352,7 +352,8 @@
       const req = Messages.tryReadConfirm(params);
       if (req === undefined) throw new Error("malformed shards.confirm");
       const isSame = req.domain === domain;
-      return { held: req.shards.filter((n) => isSame && holdings.isActive(n)) };
+      const held = req.shards.filter((n) => isSame && holdings.isActive(n));
+      return { held, isValid: deps.isLeaseValid() };
     },
   );
   peers.handle(Messages.METHODS.handOver, (params) => {
--- a/tests/shards_test.ts
+++ b/tests/shards_test.ts
@@ -275,6 +275,9 @@
     // As its first requests after the pause, before any timer or answer.
     expect(fleet.budgets("a1").tryTake(X, 0.1)).toBe(false);
     expect((await fleet.budgets("a1").take(X, 0.1, 0)).isErr()).toBe(true);
+    const lend = fleet.get("a1").handlers.get("budget.borrow")!;
+    expect(lend({ key: X, want: 1, loanMs: 100 }, "b1"))
+      .toMatchObject({ granted: 0 });
     fleet.resume("a1");
     await fleet.time.advance(300);
     expect(fleet.budgets("a1").isValid()).toBe(true);
@@ -420,6 +423,117 @@
     expect(fleet.countShards("da")).toBe(8);
   });
 
+  it("guards against a lease counted from its answer", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2");
+    const countRenewals = fleet.hold("a1", "renew");
+    while (countRenewals() === 0) await fleet.time.advance(1);
+    const sentMs = fleet.time.nowMs();
+    fleet.release();
+    // The answer is there when the process goes on.
+    fleet.pause("a1");
+    await fleet.time.advance(5_000);
+    fleet.resume("a1");
+    fleet.cut("*", "a1");
+    await fleet.time.advance(sentMs + 8_900 - fleet.time.nowMs());
+    expect(fleet.budgets("a1").isValid()).toBe(true);
+    await fleet.time.advance(200);
+    expect(fleet.budgets("a1").isValid()).toBe(false);
+  });
+
+  it("guards against a take-over that was decided before the holder returned", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.pause("a1");
+    const countWrites = fleet.hold("a2", "cas");
+    while (countWrites() === 0) await fleet.time.advance(1);
+    fleet.resume("a1");
+    await fleet.time.advance(400);
+    expect(fleet.budgets("a1").getShards()).toHaveLength(4);
+    fleet.release();
+    await fleet.time.advance(400);
+    const held = ["a1", "a2"].flatMap((id) => fleet.budgets(id).getShards());
+    expect(new Set(held).size).toBe(held.length);
+  });
+
+  it("guards against adopting a lost take-over while a disconnected holder counts on a full wait", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2");
+    fleet.cutBothWays("a1", "store");
+    fleet.cutBothWays("a1", "a2");
+    const countWrites = fleet.hold("a2", "cas");
+    while (countWrites() === 0) await fleet.time.advance(1);
+    expect(fleet.budgets("a1").isValid()).toBe(false);
+    // The take-over is written, but its answer is lost.
+    fleet.cut("store", "a2");
+    fleet.release();
+    await fleet.time.advance(100);
+    fleet.heal();
+    for (const id of ["a1", "a2"]) fleet.cutBothWays(id, "store");
+    while (!fleet.budgets("a1").isValid()) await fleet.time.advance(10);
+    // Whatever the peer held meanwhile may be spent: nothing for one loan time.
+    await fleet.time.advance(1_900);
+    expect(fleet.budgets("a1").getHolding(X).tokens).toBeLessThan(0.1);
+    await fleet.time.advance(500);
+    fleet.heal();
+    fleet.cutBothWays("a1", "store");
+    for (let i = 0; i < 400; i++) {
+      await fleet.time.advance(50);
+      const held = ["a1", "a2"].filter((id) => fleet.budgets(id).isValid())
+        .flatMap((id) => fleet.budgets(id).getShards());
+      expect(new Set(held).size).toBe(held.length);
+    }
+    expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+  });
+
+  it("asks a reachable holder before it takes over", async () => {
+    const fleet = createQuietFleet({ onSilentPeer: "keep" });
+    await fleet.start("a1", "a2");
+    fleet.cutBothWays("a1", "store");
+    fleet.cutBothWays("a1", "a2");
+    while (fleet.records.has("members/a1")) {
+      await fleet.time.advance(50);
+    }
+    fleet.heal();
+    fleet.cutBothWays("a1", "store");
+    for (let i = 0; i < 100; i++) {
+      await fleet.time.advance(50);
+      const held = ["a1", "a2"].filter((id) => fleet.budgets(id).isValid())
+        .flatMap((id) => fleet.budgets(id).getShards());
+      expect(new Set(held).size).toBe(held.length);
+    }
+  });
+
+  it("guards against a handover that forgets what was spent or lent", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    const { burst } = fleet.budgets("a1").getHolding(X);
+    const lend = fleet.get("a1").handlers.get("budget.borrow")!;
+    expect(lend({ key: X, want: burst, loanMs: 2_000 }, "b1"))
+      .toMatchObject({ granted: burst });
+    fleet.get("a1").state = "leaving";
+    void fleet.budgets("a1").handOverAll();
+    await fleet.time.advance(1_500);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+    expect(fleet.budgets("a2").getHolding(X).tokens)
+      .toBeLessThan(8 - burst + 0.01);
+    await fleet.time.advance(3_000);
+    expect(fleet.budgets("a2").getHolding(X).tokens).toBeCloseTo(8);
+  });
+
+  it("guards against new shards while another instance may use the table before", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    const next = Fakes.createTable(2, REGIONS, CELLS);
+    for (const id of ["a1", "a2"]) fleet.setTable(id, next);
+    fleet.get("a1").state = "leaving";
+    void fleet.budgets("a1").handOverAll();
+    await fleet.time.advance(4_300);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(4);
+    await fleet.time.advance(3_000);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+  });
+
   it("keeps the content of a lapsed holder whose shards nobody took", async () => {
     const fleet = createQuietFleet();
     await fleet.start("a1", "b1");
