Pay a region's cap when a request starts, not when it begins to wait

Cause: requests took their cap token on arrival and kept it while they waited for a slot. When slots became free together, all of them started at once: 66 starts in one second against a cap of 40. Ruled out: the bucket itself (never above its rate) and clock skew (one process). Change: a waiting request pays at its start, refunds name the time of the take so that they are exact, and a queued request borrows cap tokens at most every 50 ms. The queue no longer refuses by an estimate made during a stall: with all slots busy for a second it turned away requests that had 9 s left.

--- a/src/admission/account.ts
+++ b/src/admission/account.ts
@@ -3,7 +3,8 @@
  * account's budget per request that runs, whichever instance admits it.
  */
 import type * as Http from "node:http";
-import { Ok, type Result } from "ts-results-es";
+import { Err, Ok, type Result } from "ts-results-es";
+import type * as Contracts from "../contracts.ts";
 import * as Headers from "../forward/headers.ts";
 import * as Respond from "../forward/respond.ts";
 import * as Relay from "../once/relay.ts";
@@ -73,32 +74,43 @@
   return `acct/${ctx.route.service}/${account}`;
 }
 
-/** Takes one token of the account's budget; returns the refusal when there is none. */
+/** A token of the account's budget. */
+export interface Payment {
+  /** Undefined on open routes, which have no account. */
+  readonly key: Contracts.BudgetKey | undefined;
+  /** Monotonic ms. */
+  readonly paidAtMs: number;
+}
+
+/** Takes one token of the account's budget; fails when there is none. */
 export async function pay(
   deps: Context.Deps,
   ctx: Context.Context,
-): Promise<Respond.Refusal | undefined> {
-  if (!deps.budgets.isValid()) return Respond.refuse("notHolding", "not-run");
+): Promise<Result<Payment, Respond.Refusal>> {
+  if (!deps.budgets.isValid()) {
+    return Err(Respond.refuse("notHolding", "not-run"));
+  }
   const key = getBudgetKey(ctx);
-  if (key === undefined || deps.budgets.tryTake(key, 1)) return undefined;
+  const getPayment = () => Ok({ key, paidAtMs: deps.clock.nowMs() });
+  if (key === undefined || deps.budgets.tryTake(key, 1)) return getPayment();
   const waitMs = Math.min(
     ACCOUNT_WAIT_MS,
     Context.getRemainingMs(ctx, deps.clock),
   );
   const taken = await deps.budgets.take(key, 1, waitMs);
-  if (taken.isOk()) return undefined;
+  if (taken.isOk()) return getPayment();
   const retryMs = deps.budgets.getWaitMs(key, 1);
-  return Respond.refuse("accountLimit", "not-run", retryMs);
+  return Err(Respond.refuse("accountLimit", "not-run", retryMs));
 }
 
 /** Returns the account's token when the request certainly did not run. */
 export function refundIfNotRun(
   deps: Context.Deps,
-  ctx: Context.Context,
+  payment: Payment,
   result: Run.RunResult,
 ): void {
-  const key = getBudgetKey(ctx);
+  const { key, paidAtMs } = payment;
   const isNotRun = result.kind === "refused" &&
     result.refusal.outcome === "not-run";
-  if (isNotRun && key !== undefined) deps.budgets.giveBack(key, 1);
+  if (isNotRun && key !== undefined) deps.budgets.giveBack(key, 1, paidAtMs);
 }
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -159,12 +159,12 @@
   ctx: Context.Context,
 ): Promise<Run.RunResult> {
   const paid = await Account.pay(deps, ctx);
-  if (paid !== undefined) {
-    return finish(ctx, { kind: "refused", refusal: paid });
+  if (paid.isErr()) {
+    return finish(ctx, { kind: "refused", refusal: paid.error });
   }
   const sink = Respond.createResponseSink(ctx.res, ctx.id);
   const result = await Run.run(deps, ctx, sink, ctx.signal);
-  Account.refundIfNotRun(deps, ctx, result);
+  Account.refundIfNotRun(deps, paid.value, result);
   return finish(ctx, result);
 }
 
--- a/src/admission/once.ts
+++ b/src/admission/once.ts
@@ -198,8 +198,8 @@
   ctx: Context.Context,
   signal: AbortSignal,
 ): Promise<Run.RunResult> {
-  const unpaid = await Account.pay(deps, ctx);
-  if (unpaid !== undefined) return { kind: "refused", refusal: unpaid };
+  const paid = await Account.pay(deps, ctx);
+  if (paid.isErr()) return { kind: "refused", refusal: paid.error };
   const parts: Buffer[] = [];
   let head: { status: number; headers: Headers.HeaderPairs } | undefined;
   // A long answer is gathered, because the ledger decides before the caller hears.
@@ -213,7 +213,7 @@
     },
   };
   const result = await Run.run(deps, ctx, sink, signal);
-  Account.refundIfNotRun(deps, ctx, result);
+  Account.refundIfNotRun(deps, paid.value, result);
   if (result.kind === "streamed" && head !== undefined) {
     return { kind: "answer", answer: { ...head, body: Buffer.concat(parts) } };
   }
--- a/src/admission/place.ts
+++ b/src/admission/place.ts
@@ -14,14 +14,24 @@
 const CAP_WAIT_MS = 150;
 /** A request that waited this long for a slot may leave its first region. */
 const SPILL_AFTER_MS = 20;
+/** A queued request asks its peers for cap tokens at most this often. */
+const BORROW_INTERVAL_MS = 50;
 
 /** A slot and the budget token that goes with it. */
 export interface Placement {
   readonly region: Types.Region;
   readonly slot: Contracts.SlotLease;
+  /** Monotonic ms at which the region's cap was paid. */
+  readonly capTakenAtMs: number;
   readonly link: Link.LinkMeter | undefined;
 }
 
+/** A paid token of a region's cap. */
+interface CapToken {
+  readonly region: Types.Region;
+  readonly takenAtMs: number;
+}
+
 /** Budget key of a region's cap. */
 export function getCapKey(service: string, region: string): string {
   return `cap/${service}/${region}`;
@@ -41,52 +51,104 @@
   deps: Context.Deps,
   ctx: Context.Context,
   regions: readonly Types.Region[],
-): Promise<Types.Region | undefined> {
+): Promise<CapToken | undefined> {
   const { service } = ctx.route;
   const quick = regions.find((region) =>
     deps.budgets.tryTake(getCapKey(service, region), 1)
   );
-  if (quick !== undefined) return quick;
+  if (quick !== undefined) {
+    return { region: quick, takenAtMs: deps.clock.nowMs() };
+  }
   for (const region of regions) {
     const waitMs = Math.min(
       CAP_WAIT_MS,
       Context.getRemainingMs(ctx, deps.clock),
     );
-    const taken = await deps.budgets.take(
-      getCapKey(service, region),
-      1,
-      waitMs,
-    );
-    if (taken.isOk()) return region;
+    const key = getCapKey(service, region);
+    const taken = await deps.budgets.take(key, 1, waitMs);
+    if (taken.isOk()) return { region, takenAtMs: deps.clock.nowMs() };
   }
   return undefined;
 }
 
-/** A slot in the chosen region or, after a while, in another one whose cap allows it. */
-function tryGetSlot(
+/** Brings cap tokens from peers into the own holding, for requests that wait. */
+function createBorrower(
   deps: Context.Deps,
   ctx: Context.Context,
-  chosen: Types.Region,
+): (region: Types.Region) => void {
+  let nextAtMs = -Infinity;
+  return (region) => {
+    const now = deps.clock.nowMs();
+    if (now < nextAtMs) return;
+    nextAtMs = now + BORROW_INTERVAL_MS;
+    const key = getCapKey(ctx.route.service, region);
+    deps.budgets.take(key, 1, CAP_WAIT_MS).then((taken) => {
+      if (taken.isErr()) return;
+      deps.budgets.giveBack(key, 1, deps.clock.nowMs());
+      deps.queue.wake(ctx.route.service);
+    });
+  };
+}
+
+/**
+ * Tries to start a request that may be waiting. The cap is paid at the start
+ * and not when the wait begins: tokens held by waiting requests would all be
+ * used at once when slots become free, far above the cap of that second.
+ */
+function createStart(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  first: CapToken,
   regions: readonly Types.Region[],
   exclude: ReadonlySet<string>,
-  waitedMs: number,
-): { region: Types.Region; slot: Contracts.SlotLease } | undefined {
+): { tryStart(): Placement | undefined; giveUp(): void } {
   const { service } = ctx.route;
-  const slot = deps.targets.tryAcquire(service, chosen, exclude);
-  if (slot !== undefined) return { region: chosen, slot };
-  if (waitedMs < SPILL_AFTER_MS) return undefined;
-  for (const region of regions) {
-    if (region === chosen) continue;
-    const capKey = getCapKey(service, region);
-    if (!deps.budgets.tryTake(capKey, 1)) continue;
-    const other = deps.targets.tryAcquire(service, region, exclude);
-    if (other !== undefined) {
-      deps.budgets.giveBack(getCapKey(service, chosen), 1);
-      return { region, slot: other };
+  const borrow = createBorrower(deps, ctx);
+  const queuedAtMs = deps.clock.nowMs();
+  let held: CapToken | undefined = first;
+
+  function tryPay(region: Types.Region): CapToken | undefined {
+    if (held?.region === region) {
+      const token = held;
+      held = undefined;
+      return token;
     }
-    deps.budgets.giveBack(capKey, 1);
+    const isPaid = deps.budgets.tryTake(getCapKey(service, region), 1);
+    if (!isPaid) borrow(region);
+    return isPaid ? { region, takenAtMs: deps.clock.nowMs() } : undefined;
   }
-  return undefined;
+
+  function tryRegion(region: Types.Region): Placement | undefined {
+    const token = tryPay(region);
+    if (token === undefined) return undefined;
+    const slot = deps.targets.tryAcquire(service, region, exclude);
+    if (slot === undefined) {
+      deps.budgets.giveBack(getCapKey(service, region), 1, token.takenAtMs);
+      return undefined;
+    }
+    const link = createMeter(deps, ctx, region);
+    return { region, slot, link, capTakenAtMs: token.takenAtMs };
+  }
+
+  return {
+    tryStart() {
+      const waitedMs = deps.clock.nowMs() - queuedAtMs;
+      const chosen = tryRegion(first.region);
+      if (chosen !== undefined || waitedMs < SPILL_AFTER_MS) return chosen;
+      for (const region of regions) {
+        if (region === first.region) continue;
+        const other = tryRegion(region);
+        if (other !== undefined) return other;
+      }
+      return undefined;
+    },
+    giveUp() {
+      if (held === undefined) return;
+      const key = getCapKey(service, held.region);
+      deps.budgets.giveBack(key, 1, held.takenAtMs);
+      held = undefined;
+    },
+  };
 }
 
 function createMeter(
@@ -123,28 +185,26 @@
   const { service } = ctx.route;
   const regions = getRegions(deps, service);
   if (regions.length === 0) return Err(Respond.refuse("noTarget", "not-run"));
-  const chosen = await takeCap(deps, ctx, regions);
-  if (chosen === undefined) {
+  const token = await takeCap(deps, ctx, regions);
+  if (token === undefined) {
     const first = getCapKey(service, regions[0] ?? "");
     const waitMs = deps.budgets.getWaitMs(first, 1);
     return Err(Respond.refuse("regionCap", "not-run", waitMs));
   }
-  const queuedAtMs = deps.clock.nowMs();
-  const found = await deps.queue.wait(
+  const start = createStart(deps, ctx, token, regions, exclude);
+  const waiting = deps.queue.wait(
     {
       service,
       account: ctx.caller.account,
       deadlineAtMs: ctx.deadlineAtMs,
       signal: ctx.signal,
     },
-    () => {
-      const waitedMs = deps.clock.nowMs() - queuedAtMs;
-      const got = tryGetSlot(deps, ctx, chosen, regions, exclude, waitedMs);
-      return got && { ...got, link: createMeter(deps, ctx, got.region) };
-    },
+    start.tryStart,
   );
+  // What did not start at once pays when it starts.
+  start.giveUp();
+  const found = await waiting;
   if (found.isErr()) {
-    deps.budgets.giveBack(getCapKey(service, chosen), 1);
     return Err({ failure: found.error, outcome: "not-run" });
   }
   return await payLink(deps, ctx, found.value);
@@ -174,5 +234,6 @@
   placement: Placement,
 ): void {
   placement.slot.release({ kind: "cancelled" });
-  deps.budgets.giveBack(getCapKey(ctx.route.service, placement.region), 1);
+  const key = getCapKey(ctx.route.service, placement.region);
+  deps.budgets.giveBack(key, 1, placement.capTakenAtMs);
 }
--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -27,6 +27,7 @@
 
 const MAX_ATTEMPTS = 2;
 const STATUS_SHED = 503;
+const STATUS_SERVER_ERROR = 500;
 
 /** Runs the request; budgets of what did not run are given back. */
 export async function run(
@@ -136,7 +137,7 @@
   const ended = finishExchange(deps, ctx, placement, result, latencyMs, signal);
   if (ended.kind === "not-run") {
     const capKey = Place.getCapKey(ctx.route.service, placement.region);
-    deps.budgets.giveBack(capKey, 1);
+    deps.budgets.giveBack(capKey, 1, placement.capTakenAtMs);
   }
   return ended;
 }
@@ -152,7 +153,7 @@
   const { slot } = placement;
   switch (result.kind) {
     case "answer":
-      return finishAnswer(placement, result, latencyMs);
+      return finishAnswer(deps, ctx, placement, result, latencyMs);
     case "streamed":
       slot.release({ kind: "answered", status: result.status, latencyMs });
       return { kind: "streamed", status: result.status };
@@ -172,6 +173,8 @@
 }
 
 function finishAnswer(
+  deps: Context.Deps,
+  ctx: Context.Context,
   placement: Place.Placement,
   result: Extract<Exchange.ExchangeResult, { kind: "answer" }>,
   latencyMs: number,
@@ -191,6 +194,9 @@
     };
   }
   slot.release({ kind: "answered", status: answer.status, latencyMs });
+  if (answer.status < STATUS_SERVER_ERROR) {
+    deps.poison.reportAnswered(ctx.fingerprint);
+  }
   return { kind: "answer", answer };
 }
 
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -142,8 +142,11 @@
     tokens: number,
     waitMs: number,
   ): Promise<Result<void, Failure>>;
-  /** Returns tokens of a request that did not run. */
-  giveBack(key: BudgetKey, tokens: number): void;
+  /**
+   * Returns tokens of a request that did not run. `takenAtMs` (monotonic, read
+   * after the take) makes the refund exact; without it, it may be less.
+   */
+  giveBack(key: BudgetKey, tokens: number, takenAtMs?: number): void;
   getHolding(key: BudgetKey): BudgetHolding;
   /** Milliseconds until `tokens` are there at the own rate; Infinity when never. */
   getWaitMs(key: BudgetKey, tokens: number): number;
@@ -321,6 +324,8 @@
   isBlocked(fingerprint: string): boolean;
   /** A target's connection broke while it ran this request. */
   reportBreak(fingerprint: string, target: Types.TargetId): void;
+  /** A target answered this request in full, with a status below 500, which clears it. */
+  reportAnswered(fingerprint: string): void;
 }
 
 /** Retry budget per service: a share of the requests of the last seconds. */
--- a/src/queue/service_rate.ts
+++ b/src/queue/service_rate.ts
@@ -6,7 +6,7 @@
  */
 
 const HALF_WINDOW_MS = 500;
-/** Starts after which the rate is known before the window is full. */
+/** Starts below which the rate is unknown. */
 const MIN_STARTS = 8;
 
 /** Rate of starts from a queue. */
@@ -49,8 +49,9 @@
       rotate(now);
       const elapsedMs = now - beganMs + prevMs;
       const total = starts + prevStarts;
-      if (total < MIN_STARTS && elapsedMs < HALF_WINDOW_MS) return undefined;
-      return elapsedMs / Math.max(1, total);
+      // A stall says nothing about the rate after it: requests that could run
+      // once the slots are free again must not be refused for it.
+      return total < MIN_STARTS ? undefined : elapsedMs / total;
     },
   };
 }
