Take budget tokens anew after a wait for a slot

A request took the tokens of its account and of its region's cap before it waited for a slot. While all slots of a region were taken the buckets refilled, so that the waiting requests and the refilled tokens started together when slots became free.

Seen with the real processes of the caps proof: caps of 100 requests a second, targets that hold each slot for 1 s until about 150 requests have started. Most starts in one second were 164 in the north and 147 in the south. The account proof showed the same at the slow start of cold targets: burst 107 with a limit of 100, and 24.3 with a limit of 20.

Ruled out: misleading load reports (87 and 89 starts with every report at 0), lost targets, and jitter between instance and target alone.

The tokens of a request are now taken anew before it is sent, once its budget has refilled by a tenth of a token since the take. Tokens that would have overflowed in between are not given again, and a token that can't be renewed is not refunded.

The property test of the shards now retakes tokens as well.

--- a/src/admission/account.ts
+++ b/src/admission/account.ts
@@ -9,6 +9,7 @@
 import * as Relay from "../once/relay.ts";
 import * as ResultCodes from "../result_codes.ts";
 import * as Context from "./context.ts";
+import * as Renewal from "./renewal.ts";
 import type * as Run from "./run.ts";
 
 const KEY_HEADER = "anvilroute-key";
@@ -80,7 +81,18 @@
 ): Promise<Respond.Refusal | undefined> {
   if (!deps.budgets.isValid()) return Respond.refuse("notHolding", "not-run");
   const key = getBudgetKey(ctx);
-  if (key === undefined || deps.budgets.tryTake(key, 1)) return undefined;
+  if (key === undefined) return undefined;
+  const refusal = await takeToken(deps, ctx, key);
+  if (refusal === undefined) ctx.payment.takenAtMs = deps.clock.nowMs();
+  return refusal;
+}
+
+async function takeToken(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  key: string,
+): Promise<Respond.Refusal | undefined> {
+  if (deps.budgets.tryTake(key, 1)) return undefined;
   const waitMs = Math.min(
     ACCOUNT_WAIT_MS,
     Context.getRemainingMs(ctx, deps.clock),
@@ -91,6 +103,28 @@
   return Respond.refuse("accountLimit", "not-run", retryMs);
 }
 
+/**
+ * Takes the token of a request that waited for a slot anew, because tokens of
+ * waiting requests and the refill since would otherwise start together.
+ */
+export async function renewToken(
+  deps: Context.Deps,
+  ctx: Context.Context,
+): Promise<Respond.Refusal | undefined> {
+  const key = getBudgetKey(ctx);
+  const { takenAtMs } = ctx.payment;
+  if (key === undefined || takenAtMs === undefined) return undefined;
+  if (!Renewal.isTooOld(deps, key, takenAtMs)) return undefined;
+  ctx.payment.takenAtMs = undefined;
+  const isTaken = await Renewal.renew(deps, ctx, key, takenAtMs);
+  if (isTaken) {
+    ctx.payment.takenAtMs = deps.clock.nowMs();
+    return undefined;
+  }
+  const retryMs = deps.budgets.getWaitMs(key, 1);
+  return Respond.refuse("accountLimit", "not-run", retryMs);
+}
+
 /** Returns the account's token when the request certainly did not run. */
 export function refundIfNotRun(
   deps: Context.Deps,
@@ -100,5 +134,7 @@
   const key = getBudgetKey(ctx);
   const isNotRun = result.kind === "refused" &&
     result.refusal.outcome === "not-run";
-  if (isNotRun && key !== undefined) deps.budgets.giveBack(key, 1);
+  // A token that could not be renewed is no longer there to return.
+  const isHeld = ctx.payment.takenAtMs !== undefined;
+  if (isNotRun && isHeld && key !== undefined) deps.budgets.giveBack(key, 1);
 }
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -133,6 +133,7 @@
     fingerprint,
     startedAtMs: start.startedAtMs,
     deadlineAtMs: start.startedAtMs + deadlineMs,
+    payment: { takenAtMs: undefined },
     signal: start.abort.signal,
   };
   return Ok({ ctx, dispose });
--- a/src/admission/context.ts
+++ b/src/admission/context.ts
@@ -54,6 +54,12 @@
   readonly isRelayed: boolean;
 }
 
+/** The token of the account's budget that a request holds. */
+export interface Payment {
+  /** Monotonic ms, read after the take; undefined without a token. */
+  takenAtMs: number | undefined;
+}
+
 /** One request on its way. */
 export interface Context {
   readonly id: string;
@@ -70,6 +76,8 @@
   /** Monotonic ms. */
   readonly startedAtMs: number;
   readonly deadlineAtMs: number;
+  /** The account's token, as far as the request holds one. */
+  readonly payment: Payment;
   /** Aborts at the deadline, or when the caller goes away. */
   readonly signal: AbortSignal;
 }
--- a/src/admission/place.ts
+++ b/src/admission/place.ts
@@ -8,7 +8,9 @@
 import * as Link from "../forward/link.ts";
 import * as Respond from "../forward/respond.ts";
 import type * as Types from "../types.ts";
+import * as Account from "./account.ts";
 import * as Context from "./context.ts";
+import * as Renewal from "./renewal.ts";
 
 /** Longest wait for a region's cap before the next region is tried. */
 const CAP_WAIT_MS = 150;
@@ -20,6 +22,8 @@
   readonly region: Types.Region;
   readonly slot: Contracts.SlotLease;
   readonly link: Link.LinkMeter | undefined;
+  /** When the region's token was taken, in monotonic ms. */
+  readonly capTakenAtMs: number;
 }
 
 /** Budget key of a region's cap. */
@@ -140,14 +144,43 @@
     () => {
       const waitedMs = deps.clock.nowMs() - queuedAtMs;
       const got = tryGetSlot(deps, ctx, chosen, regions, exclude, waitedMs);
-      return got && { ...got, link: createMeter(deps, ctx, got.region) };
+      if (got === undefined) return undefined;
+      // A token for another region was taken only now.
+      const capTakenAtMs = got.region === chosen
+        ? queuedAtMs
+        : deps.clock.nowMs();
+      const link = createMeter(deps, ctx, got.region);
+      return { ...got, link, capTakenAtMs };
     },
   );
   if (found.isErr()) {
     deps.budgets.giveBack(getCapKey(service, chosen), 1);
     return Err({ failure: found.error, outcome: "not-run" });
   }
-  return await payLink(deps, ctx, found.value);
+  const paid = await payLink(deps, ctx, found.value);
+  return paid.isErr() ? paid : await renewTokens(deps, ctx, paid.value);
+}
+
+/** Last step before sending: tokens that waited with the request are taken anew. */
+async function renewTokens(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  placement: Placement,
+): Promise<Result<Placement, Respond.Refusal>> {
+  const refusal = await Account.renewToken(deps, ctx);
+  if (refusal !== undefined) {
+    abandon(deps, ctx, placement);
+    return Err(refusal);
+  }
+  const key = getCapKey(ctx.route.service, placement.region);
+  const { capTakenAtMs } = placement;
+  if (!Renewal.isTooOld(deps, key, capTakenAtMs)) return Ok(placement);
+  if (await Renewal.renew(deps, ctx, key, capTakenAtMs)) {
+    return Ok({ ...placement, capTakenAtMs: deps.clock.nowMs() });
+  }
+  placement.slot.release({ kind: "cancelled" });
+  const waitMs = deps.budgets.getWaitMs(key, 1);
+  return Err(Respond.refuse("regionCap", "not-run", waitMs));
 }
 
 async function payLink(
--- a/src/budget/budgets.ts
+++ b/src/budget/budgets.ts
@@ -126,6 +126,7 @@
     tryTake: loans.tryTake,
     take: loans.take,
     giveBack: loans.giveBack,
+    retake: loans.retake,
     getHolding(key) {
       const limits = holdings.tryGet(key)?.bucket.getLimits();
       return {
--- a/src/budget/loans.ts
+++ b/src/budget/loans.ts
@@ -57,6 +57,7 @@
     waitMs: number,
   ): Promise<Result<void, ResultCodes.Failure>>;
   giveBack(key: Contracts.BudgetKey, tokens: number, takenAtMs?: number): void;
+  retake(key: Contracts.BudgetKey, tokens: number, takenAtMs: number): boolean;
   /** Own and borrowed tokens at hand. */
   getTokens(key: Contracts.BudgetKey): number;
   getStats(): LoanStats;
@@ -357,6 +358,28 @@
   ): void {
     const state = holdings.tryGet(key);
     if (state === undefined || !isValid()) return;
+    refund(state, tokens, takenAtMs);
+    const line = lines.get(key);
+    if (line !== undefined) pump(line);
+  }
+
+  function retake(
+    key: Contracts.BudgetKey,
+    tokens: number,
+    takenAtMs: number,
+  ): boolean {
+    const state = holdings.tryGet(key);
+    if (state === undefined || !isValid()) return false;
+    refund(state, tokens, takenAtMs);
+    // Before those in line: this request had its tokens first.
+    return spend(state, tokens);
+  }
+
+  function refund(
+    state: Holdings.KeyState,
+    tokens: number,
+    takenAtMs?: number,
+  ): void {
     const now = clock.nowMs();
     let left = tokens;
     // Borrowed tokens go back only to their loan, and only when it is certain
@@ -373,8 +396,6 @@
       if (spent.tokens <= 0) state.spentBorrowed.pop();
     }
     if (left > 0) state.bucket.giveBack(left, now, takenAtMs);
-    const line = lines.get(key);
-    if (line !== undefined) pump(line);
   }
 
   peers.handle(Messages.METHODS.borrow, (params) => {
@@ -387,6 +408,7 @@
     tryTake,
     take,
     giveBack,
+    retake,
     getTokens(key) {
       const state = holdings.tryGet(key);
       return state === undefined ? 0 : getHeld(state);
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -144,6 +144,12 @@
   ): Promise<Result<void, Failure>>;
   /** Returns tokens of a request that did not run. */
   giveBack(key: BudgetKey, tokens: number): void;
+  /**
+   * Takes tokens anew that were taken at `takenAtMs` (monotonic, read after the
+   * take) and not used yet: what the bucket would have lost as overflow in
+   * between is not given again. False when they can't be had; they are lost then.
+   */
+  retake(key: BudgetKey, tokens: number, takenAtMs: number): boolean;
   getHolding(key: BudgetKey): BudgetHolding;
   /** Milliseconds until `tokens` are there at the own rate; Infinity when never. */
   getWaitMs(key: BudgetKey, tokens: number): number;
--- a/tests/shards_test.ts
+++ b/tests/shards_test.ts
@@ -97,9 +97,15 @@
     admitted.set(key, [...(admitted.get(key) ?? []), one]);
     if (random() > 0.2) return;
     const takenAtMs = random() < 0.5 ? time.nowMs() : undefined;
+    const isRetaken = takenAtMs !== undefined && random() < 0.5;
     void time.sleep(random() * 2_500).then(() => {
       if (!fleet.canRun(target.id) || fleet.get(target.id) !== target) return;
       one.isRefunded = true;
+      if (isRetaken) {
+        // A request that waited for a slot starts now and not when it was admitted.
+        if (target.budgets.retake(key, 1, takenAtMs)) note(target, key);
+        return;
+      }
       target.budgets.giveBack(key, 1, takenAtMs);
     });
   };
--- a/tests/support/fakes.ts
+++ b/tests/support/fakes.ts
@@ -58,6 +58,7 @@
           : ResultCodes.fail("accountLimit"),
       );
     },
+    retake: () => true,
     giveBack(key: string, tokens: number) {
       taken.set(key, (taken.get(key) ?? 0) - tokens);
     },
