--- a/src/admission/account.ts
+++ b/src/admission/account.ts
@@ -3,7 +3,7 @@
  * account's budget per request that runs, whichever instance admits it.
  */
 import type * as Http from "node:http";
-import { Err, Ok, type Result } from "ts-results-es";
+import { Ok, type Result } from "ts-results-es";
 import type * as Contracts from "../contracts.ts";
 import * as Headers from "../forward/headers.ts";
 import * as Respond from "../forward/respond.ts";
@@ -16,6 +16,8 @@
 const BEARER = /^Bearer\s+(\S+)$/i;
 /** Waiting a little smooths bursts and lets a loan arrive; longer waits hide the limit from callers. */
 const ACCOUNT_WAIT_MS = 250;
+/** Waiting this part of a token's refill time does not bunch starts noticeably. */
+const MAX_REFILL_TOKENS = 0.1;
 
 /** The caller's key, from the key header or a bearer token. */
 export function tryGetKey(pairs: Headers.HeaderPairs): string | undefined {
@@ -74,43 +76,94 @@
   return `acct/${ctx.route.service}/${account}`;
 }
 
-/** A token of the account's budget. */
-export interface Payment {
-  /** Undefined on open routes, which have no account. */
-  readonly key: Contracts.BudgetKey | undefined;
-  /** Monotonic ms. */
-  readonly paidAtMs: number;
-}
-
-/** Takes one token of the account's budget; fails when there is none. */
+/** Takes one token of the account's budget; returns the refusal when there is none. */
 export async function pay(
   deps: Context.Deps,
   ctx: Context.Context,
-): Promise<Result<Payment, Respond.Refusal>> {
-  if (!deps.budgets.isValid()) {
-    return Err(Respond.refuse("notHolding", "not-run"));
-  }
+): Promise<Respond.Refusal | undefined> {
+  if (!deps.budgets.isValid()) return Respond.refuse("notHolding", "not-run");
   const key = getBudgetKey(ctx);
-  const getPayment = () => Ok({ key, paidAtMs: deps.clock.nowMs() });
-  if (key === undefined || deps.budgets.tryTake(key, 1)) return getPayment();
+  if (key === undefined) return undefined;
   const waitMs = Math.min(
     ACCOUNT_WAIT_MS,
     Context.getRemainingMs(ctx, deps.clock),
   );
-  const taken = await deps.budgets.take(key, 1, waitMs);
-  if (taken.isOk()) return getPayment();
+  const isPaid = deps.budgets.tryTake(key, 1) ||
+    (await deps.budgets.take(key, 1, waitMs)).isOk();
+  if (!isPaid) return refuseUnpaid(deps, key);
+  ctx.payment.takenAtMs = deps.clock.nowMs();
+  return undefined;
+}
+
+function refuseUnpaid(deps: Context.Deps, key: string): Respond.Refusal {
   const retryMs = deps.budgets.getWaitMs(key, 1);
-  return Err(Respond.refuse("accountLimit", "not-run", retryMs));
+  return Respond.refuse("accountLimit", "not-run", retryMs);
+}
+
+/**
+ * Makes sure of the account's token at the start of a request that may have
+ * waited. Tokens of waiting requests and the refill since they were taken would
+ * otherwise start together, above rate and burst.
+ */
+export function tryRenew(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  borrow: (key: Contracts.BudgetKey) => void,
+): boolean {
+  const key = getBudgetKey(ctx);
+  if (key === undefined) return true;
+  const { payment } = ctx;
+  const { takenAtMs } = payment;
+  if (takenAtMs !== undefined) {
+    if (!isStale(deps, key, takenAtMs)) return true;
+    const isRetaken = deps.budgets.retake(key, 1, takenAtMs);
+    payment.takenAtMs = isRetaken ? deps.clock.nowMs() : undefined;
+    if (isRetaken) return true;
+  }
+  if (!deps.budgets.tryTake(key, 1)) {
+    borrow(key);
+    return false;
+  }
+  payment.takenAtMs = deps.clock.nowMs();
+  return true;
+}
+
+/** True when the budget refilled noticeably since the token was taken. */
+function isStale(
+  deps: Context.Deps,
+  key: Contracts.BudgetKey,
+  takenAtMs: number,
+): boolean {
+  const { rate } = deps.budgets.getHolding(key);
+  const ageMs = deps.clock.nowMs() - takenAtMs;
+  return rate * ageMs / 1_000 > MAX_REFILL_TOKENS;
+}
+
+/** The refusal of a request that waited in vain for its account's token. */
+export function tryRefuseUnpaid(
+  deps: Context.Deps,
+  ctx: Context.Context,
+): Respond.Refusal | undefined {
+  const key = getBudgetKey(ctx);
+  const isUnpaid = key !== undefined && ctx.payment.takenAtMs === undefined;
+  return isUnpaid ? refuseUnpaid(deps, key) : undefined;
+}
+
+/** A request that may have run has used its token; a further attempt pays anew. */
+export function markSpent(ctx: Context.Context): void {
+  ctx.payment.takenAtMs = undefined;
 }
 
 /** Returns the account's token when the request certainly did not run. */
 export function refundIfNotRun(
   deps: Context.Deps,
-  payment: Payment,
+  ctx: Context.Context,
   result: Run.RunResult,
 ): void {
-  const { key, paidAtMs } = payment;
+  const key = getBudgetKey(ctx);
+  const { takenAtMs } = ctx.payment;
   const isNotRun = result.kind === "refused" &&
     result.refusal.outcome === "not-run";
-  if (isNotRun && key !== undefined) deps.budgets.giveBack(key, 1, paidAtMs);
+  if (!isNotRun || key === undefined || takenAtMs === undefined) return;
+  deps.budgets.giveBack(key, 1, takenAtMs);
 }
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -139,6 +139,7 @@
     fingerprint,
     startedAtMs: start.startedAtMs,
     deadlineAtMs: start.startedAtMs + deadlineMs,
+    payment: { takenAtMs: undefined },
     signal: start.abort.signal,
   };
   return Ok({ ctx, dispose });
@@ -158,13 +159,13 @@
   deps: Context.Deps,
   ctx: Context.Context,
 ): Promise<Run.RunResult> {
-  const paid = await Account.pay(deps, ctx);
-  if (paid.isErr()) {
-    return finish(ctx, { kind: "refused", refusal: paid.error });
+  const unpaid = await Account.pay(deps, ctx);
+  if (unpaid !== undefined) {
+    return finish(ctx, { kind: "refused", refusal: unpaid });
   }
   const sink = Respond.createResponseSink(ctx.res, ctx.id);
   const result = await Run.run(deps, ctx, sink, ctx.signal);
-  Account.refundIfNotRun(deps, paid.value, result);
+  Account.refundIfNotRun(deps, ctx, result);
   return finish(ctx, result);
 }
 
--- a/src/admission/place.ts
+++ b/src/admission/place.ts
@@ -8,13 +8,14 @@
 import * as Link from "../forward/link.ts";
 import * as Respond from "../forward/respond.ts";
 import type * as Types from "../types.ts";
+import * as Account from "./account.ts";
 import * as Context from "./context.ts";
 
 /** Longest wait for a region's cap before the next region is tried. */
 const CAP_WAIT_MS = 150;
 /** A request that waited this long for a slot may leave its first region. */
 const SPILL_AFTER_MS = 20;
-/** A queued request asks its peers for cap tokens at most this often. */
+/** A queued request asks its peers for tokens at most this often. */
 const BORROW_INTERVAL_MS = 50;
 
 /** A slot and the budget token that goes with it. */
@@ -71,17 +72,16 @@
   return undefined;
 }
 
-/** Brings cap tokens from peers into the own holding, for requests that wait. */
+/** Brings tokens from peers into the own holding, for requests that wait. */
 function createBorrower(
   deps: Context.Deps,
   ctx: Context.Context,
-): (region: Types.Region) => void {
+): (key: Contracts.BudgetKey) => void {
   let nextAtMs = -Infinity;
-  return (region) => {
+  return (key) => {
     const now = deps.clock.nowMs();
     if (now < nextAtMs) return;
     nextAtMs = now + BORROW_INTERVAL_MS;
-    const key = getCapKey(ctx.route.service, region);
     deps.budgets.take(key, 1, CAP_WAIT_MS).then((taken) => {
       if (taken.isErr()) return;
       deps.budgets.giveBack(key, 1, deps.clock.nowMs());
@@ -91,9 +91,9 @@
 }
 
 /**
- * Tries to start a request that may be waiting. The cap is paid at the start
- * and not when the wait begins: tokens held by waiting requests would all be
- * used at once when slots become free, far above the cap of that second.
+ * Tries to start a request that may be waiting. Account and cap are paid at the
+ * start and not when the wait begins: tokens held by waiting requests would all
+ * be used at once when slots become free, far above the limit of that second.
  */
 function createStart(
   deps: Context.Deps,
@@ -113,8 +113,9 @@
       held = undefined;
       return token;
     }
-    const isPaid = deps.budgets.tryTake(getCapKey(service, region), 1);
-    if (!isPaid) borrow(region);
+    const key = getCapKey(service, region);
+    const isPaid = deps.budgets.tryTake(key, 1);
+    if (!isPaid) borrow(key);
     return isPaid ? { region, takenAtMs: deps.clock.nowMs() } : undefined;
   }
 
@@ -132,6 +133,7 @@
 
   return {
     tryStart() {
+      if (!Account.tryRenew(deps, ctx, borrow)) return undefined;
       const waitedMs = deps.clock.nowMs() - queuedAtMs;
       const chosen = tryRegion(first.region);
       if (chosen !== undefined || waitedMs < SPILL_AFTER_MS) return chosen;
@@ -205,7 +207,8 @@
   start.giveUp();
   const found = await waiting;
   if (found.isErr()) {
-    return Err({ failure: found.error, outcome: "not-run" });
+    const unpaid = Account.tryRefuseUnpaid(deps, ctx);
+    return Err(unpaid ?? { failure: found.error, outcome: "not-run" });
   }
   return await payLink(deps, ctx, found.value);
 }
--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -8,6 +8,7 @@
 import type * as Exchange from "../forward/exchange.ts";
 import * as Headers from "../forward/headers.ts";
 import * as Respond from "../forward/respond.ts";
+import * as Account from "./account.ts";
 import * as Context from "./context.ts";
 import * as Place from "./place.ts";
 
@@ -52,6 +53,7 @@
     if (ended.kind !== "not-run" && ended.kind !== "broke") return ended;
     exclude.add(placement.slot.target.id);
     mayHaveRun ||= ended.kind === "broke";
+    if (ended.kind === "broke") Account.markSpent(ctx);
     const mayRetry = ctx.body.kind !== "stream" && attempt < MAX_ATTEMPTS &&
       !signal.aborted &&
       (ended.kind === "not-run" || Context.isRead(ctx.method)) &&
