Estimate waits of slow services over their service time

Cause: the estimate took half a second without a start as a stall. A service whose requests take 800 ms fills its slots at once and frees none for that long, so entries that would have started in time were refused. Also, a start function that throws broke the wake of all other entries.

Change: the window covers at least two service times per half; a throwing start fails its own entry only. The account turns move to src/queue/turns.ts.

Conclusion: no refusal before the first slots of a slow service become free.

--- a/src/queue/fair_queue.ts
+++ b/src/queue/fair_queue.ts
@@ -12,8 +12,8 @@
 import type * as Contracts from "../contracts.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
-import * as LinkedList from "./linked_list.ts";
-import * as ServiceRate from "./service_rate.ts";
+import type * as LinkedList from "./linked_list.ts";
+import * as Turns from "./turns.ts";
 
 /** Accounts whose first entry cannot start that one wake looks at. */
 const MAX_BLOCKED_PER_WAKE = 16;
@@ -27,79 +27,22 @@
   readonly getServiceTimeMs: (service: Types.Service) => number;
 }
 
-interface Waiting<T> {
-  readonly entry: Contracts.QueueEntry;
-  readonly tryStart: () => T | undefined;
-  /** Monotonic ms after which a start would be useless. */
-  readonly startByMs: number;
-  settle(result: Results.Result<T, ResultCodes.Failure>): void;
-}
-
-interface AccountQueue<T> {
-  readonly account: Types.Account;
-  readonly entries: LinkedList.LinkedList<Waiting<T>>;
-  turn: LinkedList.Node<AccountQueue<T>> | undefined;
-}
-
-interface ServiceQueue<T> {
-  readonly accounts: Map<Types.Account, AccountQueue<T>>;
-  /** Accounts with entries; the first has waited longest for its turn. */
-  readonly turns: LinkedList.LinkedList<AccountQueue<T>>;
-  readonly rate: ServiceRate.ServiceRate;
-  length: number;
-  /** Where the next wake goes on when the last one did not see all accounts. */
-  cursor: LinkedList.Node<AccountQueue<T>> | undefined;
-  isWaking: boolean;
-  isWakeWanted: boolean;
-}
-
-function createServiceQueue<T>(): ServiceQueue<T> {
-  return {
-    accounts: new Map(),
-    turns: LinkedList.createLinkedList(),
-    rate: ServiceRate.createServiceRate(),
-    length: 0,
-    cursor: undefined,
-    isWaking: false,
-    isWakeWanted: false,
-  };
-}
-
 /** Creates the queues of all services. */
 export function createFairQueue<T>(
   opts: FairQueueOptions,
 ): Contracts.FairQueue<T> {
   const { clock } = opts;
-  const services = new Map<Types.Service, ServiceQueue<T>>();
+  const services = new Map<Types.Service, Turns.ServiceQueue<T>>();
 
-  function getQueue(service: Types.Service): ServiceQueue<T> {
+  function getQueue(service: Types.Service): Turns.ServiceQueue<T> {
     const known = services.get(service);
     if (known !== undefined) return known;
-    const created = createServiceQueue<T>();
+    const getServiceMs = () => opts.getServiceTimeMs(service);
+    const created = Turns.createServiceQueue<T>(getServiceMs);
     services.set(service, created);
     return created;
   }
 
-  function getAccountQueue(
-    queue: ServiceQueue<T>,
-    account: Types.Account,
-  ): AccountQueue<T> {
-    const known = queue.accounts.get(account);
-    if (known !== undefined) return known;
-    const entries = LinkedList.createLinkedList<Waiting<T>>();
-    const created = { account, entries, turn: undefined };
-    queue.accounts.set(account, created);
-    return created;
-  }
-
-  function endTurn(queue: ServiceQueue<T>, accountQueue: AccountQueue<T>) {
-    const { turn } = accountQueue;
-    if (turn === undefined) return;
-    if (queue.cursor === turn) queue.cursor = turn.next;
-    queue.turns.remove(turn);
-    accountQueue.turn = undefined;
-  }
-
   /** Time within which an entry has to start so that its request can still end. */
   function getStartByMs(entry: Contracts.QueueEntry, now: number): number {
     const remainingMs = entry.deadlineAtMs - now;
@@ -110,7 +53,7 @@
 
   /** Upper bound of the wait of a new entry; 0 while the rate is unknown. */
   function estimateWaitMs(
-    queue: ServiceQueue<T>,
+    queue: Turns.ServiceQueue<T>,
     ahead: number,
     now: number,
   ): number {
@@ -121,66 +64,53 @@
     return Math.min(rounds, queue.length + 1) * intervalMs;
   }
 
-  function append(
-    queue: ServiceQueue<T>,
-    waiting: Waiting<T>,
-  ): LinkedList.Node<Waiting<T>> {
-    const accountQueue = getAccountQueue(queue, waiting.entry.account);
-    const node = accountQueue.entries.append(waiting);
-    accountQueue.turn ??= queue.turns.append(accountQueue);
-    queue.length++;
-    return node;
-  }
-
-  function remove(
-    queue: ServiceQueue<T>,
-    account: Types.Account,
-    node: LinkedList.Node<Waiting<T>>,
-  ): void {
-    const accountQueue = queue.accounts.get(account);
-    if (accountQueue === undefined || !node.isLinked) return;
-    accountQueue.entries.remove(node);
-    queue.length--;
-    if (accountQueue.entries.size > 0) return;
-    endTurn(queue, accountQueue);
-    queue.accounts.delete(account);
-  }
-
   function refuse(detail: string): Results.Err<ResultCodes.Failure> {
     return ResultCodes.fail("queueFull", detail);
   }
 
   /** Refuses the first entries of an account whose time is over. */
   function dropExpired(
-    queue: ServiceQueue<T>,
-    accountQueue: AccountQueue<T>,
+    queue: Turns.ServiceQueue<T>,
+    accountQueue: Turns.AccountQueue<T>,
     now: number,
   ): void {
     for (;;) {
       const node = accountQueue.entries.first;
       if (node === undefined || now < node.value.startByMs) return;
-      remove(queue, accountQueue.account, node);
+      Turns.remove(queue, accountQueue.account, node);
       node.value.settle(refuse("waited until its deadline"));
     }
   }
 
+  /** Starts an entry; one that throws is removed and fails alone. */
+  function tryStartNode(
+    queue: Turns.ServiceQueue<T>,
+    account: Types.Account,
+    node: LinkedList.Node<Turns.Waiting<T>>,
+  ): T | undefined {
+    try {
+      return node.value.tryStart();
+    } catch (err) {
+      Turns.remove(queue, account, node);
+      node.value.reject(err);
+      return undefined;
+    }
+  }
+
   /** Tries the first entry of an account; false when it cannot start now. */
   function tryStartFirst(
-    queue: ServiceQueue<T>,
-    accountQueue: AccountQueue<T>,
+    queue: Turns.ServiceQueue<T>,
+    accountQueue: Turns.AccountQueue<T>,
   ): boolean {
     const now = clock.nowMs();
     dropExpired(queue, accountQueue, now);
     const node = accountQueue.entries.first;
     if (node === undefined) return true;
-    const value = node.value.tryStart();
-    if (value === undefined) return false;
+    const value = tryStartNode(queue, accountQueue.account, node);
+    if (value === undefined) return !node.isLinked;
     queue.rate.countStart(now);
-    remove(queue, accountQueue.account, node);
-    if (accountQueue.turn !== undefined) {
-      endTurn(queue, accountQueue);
-      accountQueue.turn = queue.turns.append(accountQueue);
-    }
+    Turns.remove(queue, accountQueue.account, node);
+    Turns.passTurn(queue, accountQueue);
     node.value.settle(Results.Ok(value));
     return true;
   }
@@ -189,7 +119,7 @@
    * Goes round the accounts, from the one that waited longest, until all that it
    * sees are blocked. A blocked account keeps its place before those that start.
    */
-  function pass(queue: ServiceQueue<T>): void {
+  function pass(queue: Turns.ServiceQueue<T>): void {
     const { turns } = queue;
     let turn = queue.cursor ?? turns.first;
     let blocked = 0;
@@ -222,21 +152,29 @@
 
   /** Waits in the queue; the deadline and the signal remove the entry. */
   function enqueue(
-    queue: ServiceQueue<T>,
+    queue: Turns.ServiceQueue<T>,
     entry: Contracts.QueueEntry,
     tryStart: () => T | undefined,
     startByMs: number,
   ): Promise<Results.Result<T, ResultCodes.Failure>> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, fail) => {
       let timer: NodeJS.Timeout | undefined;
-      const settle = (result: Results.Result<T, ResultCodes.Failure>) => {
+      const end = () => {
         clearTimeout(timer);
         entry.signal.removeEventListener("abort", onAbort);
+      };
+      const settle = (result: Results.Result<T, ResultCodes.Failure>) => {
+        end();
         resolve(result);
       };
-      const node = append(queue, { entry, tryStart, startByMs, settle });
+      const reject = (err: unknown) => {
+        end();
+        fail(err);
+      };
+      const waiting = { entry, tryStart, startByMs, settle, reject };
+      const node = Turns.append(queue, waiting);
       const giveUp = (detail: string) => {
-        remove(queue, entry.account, node);
+        Turns.remove(queue, entry.account, node);
         settle(refuse(detail));
       };
       const onAbort = () => giveUp("cancelled by the caller");
--- a/src/queue/service_rate.ts
+++ b/src/queue/service_rate.ts
@@ -1,11 +1,13 @@
 /**
  * Estimates how fast waiting entries start. Promise: an estimate is based on
- * the last second of the present busy period, so that a slow period in the past
+ * the last second or few of the present busy period, so that a slow period in the past
  * refuses nobody now; before enough starts it is unknown. The window is a time
  * and not a number of starts because slots often become free in groups.
  */
 
-const HALF_WINDOW_MS = 500;
+const MIN_HALF_WINDOW_MS = 500;
+/** Slots that fill together become free together, one service time later. */
+const SERVICE_TIMES_PER_HALF_WINDOW = 2;
 /** Starts after which the rate is known before the window is full. */
 const MIN_STARTS = 8;
 
@@ -18,16 +20,21 @@
   tryGetIntervalMs(now: number): number | undefined;
 }
 
-/** Creates an estimate without history. */
-export function createServiceRate(): ServiceRate {
+/** Creates an estimate without history; `getServiceMs` is the time that a request takes. */
+export function createServiceRate(getServiceMs: () => number): ServiceRate {
   let beganMs = 0;
   let starts = 0;
   let prevMs = 0;
   let prevStarts = 0;
 
+  function getHalfWindowMs(): number {
+    const forGroups = getServiceMs() * SERVICE_TIMES_PER_HALF_WINDOW;
+    return Math.max(MIN_HALF_WINDOW_MS, forGroups);
+  }
+
   function rotate(now: number): void {
     const elapsedMs = now - beganMs;
-    if (elapsedMs < HALF_WINDOW_MS) return;
+    if (elapsedMs < getHalfWindowMs()) return;
     prevMs = elapsedMs;
     prevStarts = starts;
     beganMs = now;
@@ -49,7 +56,7 @@
       rotate(now);
       const elapsedMs = now - beganMs + prevMs;
       const total = starts + prevStarts;
-      if (total < MIN_STARTS && elapsedMs < HALF_WINDOW_MS) return undefined;
+      if (total < MIN_STARTS && elapsedMs < getHalfWindowMs()) return undefined;
       return elapsedMs / Math.max(1, total);
     },
   };
--- a/tests/queue_test.ts
+++ b/tests/queue_test.ts
@@ -189,6 +189,25 @@
     expect(rig.queue.getLength("s")).toBe(1);
   });
 
+  it("refuse nobody before the first slots of a slow service become free", () => {
+    const rig = createRig({ serviceMs: 800 });
+    for (let i = 0; i < 20; i++) rig.add("a");
+    rig.pass(700);
+    rig.add("b", 2_000);
+    expect(rig.queue.getLength("s")).toBe(21);
+  });
+
+  it("let an entry whose start throws fail alone", async () => {
+    const rig = createRig();
+    const bad = rig.add("a", 100_000, () => {
+      throw new Error("programming error");
+    });
+    rig.add("b");
+    rig.free(1);
+    await expect(bad.done).rejects.toThrow("programming error");
+    expect(rig.started.map((each) => each.account)).toEqual(["b"]);
+  });
+
   it("let a full account refuse only itself", async () => {
     const rig = createRig({ maxPerAccount: 5 });
     for (let i = 0; i < 9; i++) rig.add("a");
