Add the benches of section 8 and three for capacity slopes

Change: testing/bench/main.ts with one module per bench (overhead, fairness, limits, headroom, drain, propagation, lookup, recovery, heartbeats), shared parts in report.ts, rig.ts, usage.ts and follower.ts, and probes, store and keys, which measure the slopes that the capacity page needs. Bounds are those of docs/design.md; a figure without one there has bound=none.

--- a/testing/bench/heartbeats.ts
+++ b/testing/bench/heartbeats.ts
@@ -4,6 +4,7 @@
 import * as Net from "../../src/peer/net.ts";
 import * as Supervisor from "../../src/supervisor.ts";
 import type * as Types from "../../src/types.ts";
+import type * as Report from "./report.ts";
 
 const SIZES = [4, 16, 64] as const;
 const DOMAINS = 6;
@@ -12,6 +13,9 @@
 /** Connecting and the first rounds of discovery are not measured. */
 const SETTLE_TIMEOUT_MS = 6_000;
 const SETTLE_MS = 3_000;
+/** Section 1.6: control traffic and processor time of a node. */
+const MAX_BYTES_PER_S = 8_000;
+const MAX_CPU_PERCENT = 2.9;
 
 interface LightPeer {
   readonly net: Net.Net;
@@ -91,8 +95,13 @@
   return samples;
 }
 
-/** Measures one size and prints one line. */
-async function measure(size: number): Promise<void> {
+interface Cost {
+  readonly bytesPerS: number;
+  readonly cpuPercent: number;
+}
+
+/** Measures one size, prints one line, and returns the cost of one peer. */
+async function measure(report: Report.Report, size: number): Promise<Cost> {
   const log = Log.createLogger("error", { bench: "heartbeats" });
   const first = await startPeer(0, [], log);
   const peers = [first];
@@ -114,23 +123,41 @@
   );
   // The least sample has no answer of `members.list`, which come rarely.
   const heartbeatsPerS = Math.min(...samples);
-  const line = {
-    bench: "heartbeats",
+  const cost = {
+    bytesPerS: sum(samples) / SAMPLES / size,
+    cpuPercent: cpuSeconds / seconds / size * 100,
+  };
+  report.line({
     peers: size,
     seconds: seconds.toFixed(1),
     connectionsPerPeer: (connections / size).toFixed(1),
     reachablePerPeer: (reachable / size).toFixed(1),
-    meanSentBytesPerSPerPeer: (sum(samples) / SAMPLES / size).toFixed(0),
+    meanSentBytesPerSPerPeer: cost.bytesPerS.toFixed(0),
     leastSentBytesPerSPerPeer: (heartbeatsPerS / size).toFixed(0),
     leastSentBytesPerSPerConnection: (heartbeatsPerS / connections).toFixed(1),
-    cpuPercentPerPeer: (cpuSeconds / seconds / size * 100).toFixed(3),
+    cpuPercentPerPeer: cost.cpuPercent.toFixed(3),
     rssMb: (process.memoryUsage().rss / 1e6).toFixed(0),
-  };
-  process.stdout.write(`${Log.formatFields(line)}\n`);
+  });
   await Promise.all(peers.map(({ supervisor }) => supervisor.stop()));
+  return cost;
 }
 
-/** Prints one line per fleet size; takes below 40 s. */
-export async function run(): Promise<void> {
-  for (const size of SIZES) await measure(size);
+/** Runs the bench: one line per fleet size; the smallest is the baseline. */
+export async function run(report: Report.Report): Promise<void> {
+  let cost: Cost = { bytesPerS: 0, cpuPercent: 0 };
+  for (const size of SIZES) cost = await measure(report, size);
+  report.figure({
+    figure: "cpu_per_peer_of_64",
+    value: cost.cpuPercent,
+    unit: "percent",
+    bound: MAX_CPU_PERCENT,
+    limit: "at-most",
+  });
+  report.figure({
+    figure: "sent_bytes_per_peer_of_64",
+    value: cost.bytesPerS,
+    unit: "B/s",
+    bound: MAX_BYTES_PER_S,
+    limit: "at-most",
+  });
 }
--- /dev/null
+++ b/testing/bench/keys.ts
@@ -0,0 +1,103 @@
+/**
+ * Cost of budget keys in one holder: time to divide a table, memory, time of a
+ * periodic pass over all keys, and of taking one token. The baseline is the
+ * smallest table.
+ */
+import * as Division from "../../src/budget/division.ts";
+import * as Holdings from "../../src/budget/holdings.ts";
+import * as Clock from "../../src/clock.ts";
+import * as Table from "../../src/table/table.ts";
+import type * as Types from "../../src/types.ts";
+import type * as Report from "./report.ts";
+
+/** Client accounts of one service in two regions; keys are a few more. */
+const SIZES = [100, 1_000, 10_000] as const;
+/** The tick that applies growth runs this often. */
+const TICKS_PER_S = 5;
+const TICKS = 200;
+const TAKES = 200_000;
+/** Section 1.6: control costs of a node. */
+const MAX_MB = 32;
+
+function createTable(accounts: number): { table: Types.Table; bytes: number } {
+  const names = Array.from({ length: accounts }, (_, i) => `account-${i}`);
+  const head = "service,region,domains,weight,cap_rps,shift_pct_per_s," +
+    "link_mbps,once,open,deadline_ms," +
+    names.map((name) => `rate:${name},burst:${name}`).join(",");
+  const cells = names.map(() => "50,100").join(",");
+  const csv = [
+    head,
+    `order,north,north-1 north-2,100,9000,5,1000,,,10000,${cells}`,
+    `order,south,south-1 south-2,100,9000,5,1000,,,10000,${cells}`,
+  ].join("\n") + "\n";
+  const table = Table.parseTable(csv, 1);
+  if (table.isErr()) throw new Error(table.error.detail.slice(0, 300));
+  return { table: table.value, bytes: Buffer.byteLength(csv) };
+}
+
+function collectGarbage(): number {
+  globalThis.gc?.();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
+
+/** Measures one size; returns the memory in MB. */
+function measure(report: Report.Report, accounts: number): number {
+  const parsedAtMs = performance.now();
+  const { table, bytes } = createTable(accounts);
+  const parseMs = performance.now() - parsedAtMs;
+  const before = collectGarbage();
+  const startedAtMs = performance.now();
+  const division = Division.createDivision(table);
+  const holdings = Holdings.createHoldings({
+    clock: Clock.systemClock,
+    domain: "north-1",
+    growDelayMs: 4_500,
+  });
+  holdings.setDivision(division);
+  for (let shard = 0; shard < Division.SHARDS_PER_DOMAIN; shard++) {
+    holdings.activate(shard, { kind: "full" });
+  }
+  const buildMs = performance.now() - startedAtMs;
+  const memory = collectGarbage() - before;
+  const tickedAtMs = performance.now();
+  for (let i = 0; i < TICKS; i++) holdings.applyGrowth();
+  const tickMs = (performance.now() - tickedAtMs) / TICKS;
+  const states = division.keys.map((key) => holdings.tryGet(key));
+  const tookAtMs = performance.now();
+  for (let i = 0; i < TAKES; i++) {
+    states[i % states.length]?.bucket.tryTake(1, tookAtMs);
+  }
+  const takeNs = (performance.now() - tookAtMs) * 1e6 / TAKES;
+  report.line({
+    budgetKeys: division.keys.length,
+    tableBytes: bytes,
+    parseMs: parseMs.toFixed(1),
+    buildMs: buildMs.toFixed(1),
+    memoryMb: (memory / 1e6).toFixed(2),
+    bytesPerKey: Math.round(memory / division.keys.length),
+    tickMs: tickMs.toFixed(4),
+    tickCpuPercent: (tickMs * TICKS_PER_S / 10).toFixed(4),
+    takeNs: takeNs.toFixed(0),
+  });
+  return memory / 1e6;
+}
+
+/** Runs the bench. */
+export async function run(report: Report.Report): Promise<void> {
+  // The first run compiles the code and is not reported.
+  const { setFlagsFromString } = await import("node:v8");
+  setFlagsFromString("--expose-gc");
+  globalThis.gc ??= (await import("node:vm")).runInNewContext("gc");
+  const silent: Report.Report = { ...report, line: () => {} };
+  measure(silent, SIZES[0]);
+  let memoryMb = 0;
+  for (const size of SIZES) memoryMb = measure(report, size);
+  report.figure({
+    figure: "memory_of_10000_account_keys",
+    value: memoryMb,
+    unit: "MB",
+    bound: MAX_MB,
+    limit: "at-most",
+  });
+}
