Clear answered requests from the poison suspicions

Cause: losing a region's targets blocked popular reads fleet-wide for five minutes. Poison.reportAnswered existed for this, but the request path never called it, so two targets lost together made every request in flight at both a poison request.

Change: Contracts.Poison has reportAnswered, and the request path calls it for each complete answer with a status below 500. A test checks that it does.

--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -27,6 +27,8 @@
 
 const MAX_ATTEMPTS = 2;
 const STATUS_SHED = 503;
+/** An answer from this status on is no proof that the request does no harm. */
+const STATUS_SERVER_ERROR = 500;
 
 /** Runs the request; budgets of what did not run are given back. */
 export async function run(
@@ -152,8 +154,10 @@
   const { slot } = placement;
   switch (result.kind) {
     case "answer":
+      noteAnswered(deps, ctx, result.answer.status);
       return finishAnswer(placement, result, latencyMs);
     case "streamed":
+      noteAnswered(deps, ctx, result.status);
       slot.release({ kind: "answered", status: result.status, latencyMs });
       return { kind: "streamed", status: result.status };
     case "not-sent":
@@ -171,6 +175,16 @@
   }
 }
 
+/** Popular requests are in flight on every target that fails; an answer shows that they do no harm. */
+function noteAnswered(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  status: number,
+): void {
+  if (status >= STATUS_SERVER_ERROR) return;
+  deps.poison.reportAnswered(ctx.fingerprint);
+}
+
 function finishAnswer(
   placement: Place.Placement,
   result: Extract<Exchange.ExchangeResult, { kind: "answer" }>,
--- a/src/retry/poison.ts
+++ b/src/retry/poison.ts
@@ -34,10 +34,8 @@
   readonly log: Log.Logger;
 }
 
-/** Poison requests, with the evidence that clears one. */
+/** Poison requests, with their number for tests. */
 export interface ClearablePoison extends Contracts.Poison {
-  /** A target answered this request in full, with a status below 500. */
-  reportAnswered(fingerprint: string): void;
   getSize(): number;
 }
 
--- a/tests/admission_test.ts
+++ b/tests/admission_test.ts
@@ -302,6 +302,19 @@
       Object.assign(instance.deps.poison, { isBlocked });
       expect([res.status, first.getRecords().length]).toEqual([422, 0]);
     });
+
+    it("reports answered requests, so that failed targets block no popular one", async () => {
+      const answered: string[] = [];
+      const { poison } = instance.deps;
+      const { reportAnswered } = poison;
+      Object.assign(poison, {
+        reportAnswered: (fingerprint: string) => answered.push(fingerprint),
+      });
+      await ask(instance.address);
+      await ask(instance.address, { path: "/s/booking/bikes?bytes=600000" });
+      Object.assign(poison, { reportAnswered });
+      expect(new Set(answered).size).toBe(2);
+    });
   });
 
   describe("keys", () => {
--- a/tests/support/fakes.ts
+++ b/tests/support/fakes.ts
@@ -275,6 +275,7 @@
     poison: {
       isBlocked: (fingerprint) => blocked.has(fingerprint),
       reportBreak: (_fingerprint, target) => void broken.push(target),
+      reportAnswered: (fingerprint) => void blocked.delete(fingerprint),
     },
     retries: { countRequest: () => {}, tryRetry: () => true },
     peers,
