--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -28,6 +28,7 @@
 
 const MAX_ATTEMPTS = 2;
 const STATUS_SHED = 503;
+/** An answer from this status on is no proof that the request does no harm. */
 const STATUS_SERVER_ERROR = 500;
 
 /** Runs the request; budgets of what did not run are given back. */
@@ -155,8 +156,10 @@
   const { slot } = placement;
   switch (result.kind) {
     case "answer":
-      return finishAnswer(deps, ctx, placement, result, latencyMs);
+      noteAnswered(deps, ctx, result.answer.status);
+      return finishAnswer(placement, result, latencyMs);
     case "streamed":
+      noteAnswered(deps, ctx, result.status);
       slot.release({ kind: "answered", status: result.status, latencyMs });
       return { kind: "streamed", status: result.status };
     case "not-sent":
@@ -174,9 +177,17 @@
   }
 }
 
-function finishAnswer(
+/** Popular requests are in flight on every target that fails; an answer shows that they do no harm. */
+function noteAnswered(
   deps: Context.Deps,
   ctx: Context.Context,
+  status: number,
+): void {
+  if (status >= STATUS_SERVER_ERROR) return;
+  deps.poison.reportAnswered(ctx.fingerprint);
+}
+
+function finishAnswer(
   placement: Place.Placement,
   result: Extract<Exchange.ExchangeResult, { kind: "answer" }>,
   latencyMs: number,
@@ -196,9 +207,6 @@
     };
   }
   slot.release({ kind: "answered", status: answer.status, latencyMs });
-  if (answer.status < STATUS_SERVER_ERROR) {
-    deps.poison.reportAnswered(ctx.fingerprint);
-  }
   return { kind: "answer", answer };
 }
 
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -330,7 +330,7 @@
   isBlocked(fingerprint: string): boolean;
   /** A target's connection broke while it ran this request. */
   reportBreak(fingerprint: string, target: Types.TargetId): void;
-  /** A target answered this request in full, with a status below 500, which clears it. */
+  /** A target answered this request in full, with a status below 500. */
   reportAnswered(fingerprint: string): void;
 }
 
