Test each protecting mechanism of the budgets by switching it off

Cause: a mechanism without a failing test can be lost unseen. Change: tests for lent tokens, reserve, backoff, late answers, foreign records and unsettled tables; a lender counts as busy from 75% of its rate, because its served demand can never exceed all of it.

--- a/src/budget/loans.ts
+++ b/src/budget/loans.ts
@@ -45,7 +45,7 @@
 /** What a lender keeps of its own recent demand. */
 const RESERVE_S = 0.1;
 /** Above this part of its rate in use, a lender keeps a whole token. */
-const BUSY_FRACTION = 1;
+const BUSY_FRACTION = 0.75;
 
 /** What loans need of their surroundings. */
 export interface LoansDeps {
--- a/tests/budget_test.ts
+++ b/tests/budget_test.ts
@@ -277,6 +277,53 @@
     expect(endedMs - startedMs).toBeLessThan(250);
   });
 
+  it("guards against spending a loan whose answer waited longer than the loan", async () => {
+    const fleet = await startFleet(1, { x: { rate: 0.1, burst: 2 } });
+    const { budgets } = fleet.get("a1");
+    expect(budgets.tryTake("acct/s/x", 1)).toBe(true);
+    let isAdmitted = false;
+    void budgets.take("acct/s/x", 1, 5_000).then((result) => {
+      isAdmitted = result.isOk();
+    });
+    // The answer is in the socket's buffer while the process is paused.
+    await fleet.time.advance(1);
+    fleet.pause("a1");
+    await fleet.time.advance(3_000);
+    expect(fleet.get("b1").budgets.getLoanStats().lentTokens).toBeGreaterThan(
+      0,
+    );
+    fleet.resume("a1");
+    await fleet.time.advance(30);
+    expect(isAdmitted).toBe(false);
+  });
+
+  it("guards against a lender that leaves its own busy callers without a token", async () => {
+    const fleet = await startFleet(1, { x: { rate: 10, burst: 8 } });
+    const { budgets, handlers } = fleet.get("a1");
+    for (let i = 0; i < 60; i++) {
+      budgets.tryTake("acct/s/x", 1);
+      await fleet.time.advance(100);
+    }
+    await fleet.time.advance(400);
+    const lend = handlers.get("budget.borrow")!;
+    lend({ key: "acct/s/x", want: 4, loanMs: 200 }, "b1");
+    expect(budgets.tryTake("acct/s/x", 1)).toBe(true);
+  });
+
+  it("guards against asking again and again who promises tokens but lends none", async () => {
+    const fleet = await startFleet(2, { x: { rate: 0.1, burst: 8 } });
+    for (const id of ["a2", "b1", "b2"]) {
+      const answer = { granted: 0, left: 8, spareRate: 8 };
+      fleet.get(id).handlers.set("budget.borrow", () => answer);
+    }
+    const { budgets } = fleet.get("a1");
+    while (budgets.tryTake("acct/s/x", 1));
+    void budgets.take("acct/s/x", 1, 5_000);
+    await fleet.time.advance(5_000);
+    // Three lenders, and waits of 50 ms that double up to 1 s, less jitter.
+    expect(budgets.getLoanStats().asked).toBeLessThan(3 * 16);
+  });
+
   it("builds a whole token from fractions of several lenders", async () => {
     const fleet = await startFleet(1, { x: { rate: 0.1, burst: 1.5 } });
     expect(fleet.get("a1").budgets.getHolding("acct/s/x").burst).toBe(0.75);
--- a/tests/shards_test.ts
+++ b/tests/shards_test.ts
@@ -526,14 +526,27 @@
     await fleet.start("a1", "a2", "b1");
     const next = Fakes.createTable(2, REGIONS, CELLS);
     for (const id of ["a1", "a2"]) fleet.setTable(id, next);
-    fleet.get("a1").state = "leaving";
-    void fleet.budgets("a1").handOverAll();
+    const { budgets } = fleet.get("a1");
+    void budgets.handOverAll().then(() => budgets.stop());
     await fleet.time.advance(4_300);
     expect(fleet.budgets("a2").getShards()).toHaveLength(4);
     await fleet.time.advance(3_000);
     expect(fleet.budgets("a2").getShards()).toHaveLength(8);
   });
 
+  it("stops spending a shard that the store gives to another", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "b1");
+    const record = { owner: "a2", incarnation: "a2.9", epoch: 99, writeId: "" };
+    fleet.records.set("shards/da/3", {
+      value: JSON.stringify(record),
+      version: 1e6,
+      leaseId: undefined,
+    });
+    await fleet.time.advance(4_000);
+    expect(fleet.budgets("a1").getShards()).not.toContain(3);
+  });
+
   it("keeps the content of a lapsed holder whose shards nobody took", async () => {
     const fleet = createQuietFleet();
     await fleet.start("a1", "b1");
