--- a/src/budget/lease.ts
+++ b/src/budget/lease.ts
@@ -16,6 +16,7 @@
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
 import * as Messages from "./messages.ts";
+import * as Relay from "./relay.ts";
 import * as StoreHealth from "./store_health.ts";
 
 /** Subtracted from the lease period for clock differences and late checks. */
@@ -69,8 +70,6 @@
   release(): Promise<void>;
 }
 
-type RelayVerdict = Messages.RelayAnswer["kind"] | "silent" | "gone";
-
 /** Creates the lease, not yet granted, and handles `lease.relay`. */
 export function createLease(deps: LeaseDeps): Lease {
   const { clock, cfg, health, log, peers, platform } = deps;
@@ -174,27 +173,16 @@
     return written.map(() => undefined);
   }
 
-  async function relayVia(id: Types.InstanceId): Promise<RelayVerdict> {
+  function relayVia(id: Types.InstanceId): Promise<Relay.RelayVerdict> {
     // Twice the platform's bound: the peer waits for its own call first.
     const timeoutMs = cfg.callTimeoutMs * 2;
-    const params: Messages.RelayRequest = { leaseId: leaseId ?? "" };
-    const result = await peers.call<Messages.RelayAnswer>(
-      id,
-      Messages.METHODS.relay,
-      params,
-      timeoutMs,
-    );
-    if (result.isErr()) return isRefused(result.error) ? "gone" : "silent";
-    const kind = result.value?.kind;
-    return kind === "renewed" || kind === "lapsed" || kind === "unreachable"
-      ? kind
-      : "silent";
+    return Relay.relayVia(peers, id, leaseId ?? "", timeoutMs);
   }
 
   async function renewThroughPeers(): Promise<void> {
     const sentAtMs = clock.nowMs();
     const order = orderForRelay();
-    const verdicts = new Map<Types.InstanceId, RelayVerdict>();
+    const verdicts = new Map<Types.InstanceId, Relay.RelayVerdict>();
     for (const wave of [order.slice(0, FIRST_WAVE), order.slice(FIRST_WAVE)]) {
       const waveSentAtMs = clock.nowMs();
       await Promise.all(wave.map(async (id) => {
@@ -232,7 +220,7 @@
 
   async function confirmDisconnected(
     sentAtMs: number,
-    verdicts: ReadonlyMap<Types.InstanceId, RelayVerdict>,
+    verdicts: ReadonlyMap<Types.InstanceId, Relay.RelayVerdict>,
   ): Promise<void> {
     const silent: Types.InstanceId[] = [];
     for (const id of getDomainPeers()) {
@@ -250,7 +238,10 @@
     confirm(sentAtMs, "disconnected");
   }
 
-  function isGoneAsAnnounced(id: Types.InstanceId, verdict: RelayVerdict) {
+  function isGoneAsAnnounced(
+    id: Types.InstanceId,
+    verdict: Relay.RelayVerdict,
+  ) {
     const member = peers.tryGetMember(id);
     return verdict === "silent" && member?.heartbeat.state === "leaving" &&
       !member.isReachable;
@@ -273,17 +264,7 @@
     return true;
   }
 
-  peers.handle(
-    Messages.METHODS.relay,
-    async (params): Promise<Messages.RelayAnswer> => {
-      const req = Messages.tryReadRelay(params);
-      if (req === undefined) throw new Error("malformed lease.relay");
-      const result = await health.track(platform.renewLease(req.leaseId));
-      if (result.isOk()) return { kind: "renewed" };
-      const isReached = StoreHealth.isAnswer(result.error);
-      return { kind: isReached ? "lapsed" : "unreachable" };
-    },
-  );
+  Relay.handleRelay(peers, platform, health);
 
   return {
     isValid,
@@ -298,9 +279,3 @@
     },
   };
 }
-
-/** True when the peer's address refused the connection, so that its process has ended. */
-function isRefused(failure: ResultCodes.Failure): boolean {
-  return failure.code.number === ResultCodes.codes.peerUnreachable.number &&
-    failure.detail.includes("ECONNREFUSED");
-}
--- /dev/null
+++ b/src/budget/lending.ts
@@ -0,0 +1,62 @@
+/**
+ * The lender's side of loans.
+ *
+ * Promise: what is lent has left the bucket, and its capacity stays lower until
+ * the loan's time has passed since the answer. Nothing is lent while the own
+ * right to spend is not confirmed, nor while own callers wait.
+ */
+import type * as Clock from "../clock.ts";
+import type * as Contracts from "../contracts.ts";
+import * as Holdings from "./holdings.ts";
+import * as Messages from "./messages.ts";
+
+/** What a lender keeps of its own recent demand, in seconds of it. */
+const RESERVE_S = 0.1;
+/** Above this part of its rate in use, a lender keeps a whole token. */
+const BUSY_FRACTION = 0.75;
+
+/** What lending needs of its surroundings. */
+export interface LendingDeps {
+  readonly peers: Contracts.PeerNet;
+  readonly clock: Clock.Clock;
+  readonly holdings: Holdings.Holdings;
+  readonly isValid: () => boolean;
+  readonly hasWaiters: (key: Contracts.BudgetKey) => boolean;
+}
+
+/** Handles `budget.borrow`; gives a function for the tokens lent since start. */
+export function createLending(deps: LendingDeps): () => number {
+  const { clock, holdings, isValid } = deps;
+  let lentTokens = 0;
+
+  function lend(req: Messages.BorrowRequest): Messages.BorrowAnswer {
+    const nothing = { granted: 0, left: 0, spareRate: 0 };
+    const state = holdings.tryGet(req.key);
+    if (state === undefined || !isValid()) return nothing;
+    const now = clock.nowMs();
+    const { rate } = state.bucket.getLimits();
+    const spareRate = Math.max(0, rate - state.demand.getRate(now));
+    const free = state.bucket.getLevel(now) - getReserve(state, now);
+    if (deps.hasWaiters(req.key) || free <= 0) return { ...nothing, spareRate };
+    const granted = Math.min(free, req.want);
+    const untilMs = now + Math.min(req.loanMs, Holdings.LOAN_MS);
+    if (!state.bucket.tryLend(granted, untilMs, now)) return nothing;
+    lentTokens += granted;
+    return { granted, left: free - granted, spareRate };
+  }
+
+  deps.peers.handle(Messages.METHODS.borrow, (params) => {
+    const req = Messages.tryReadBorrow(params);
+    if (req === undefined) throw new Error("malformed budget.borrow");
+    return lend(req);
+  });
+  return () => lentTokens;
+}
+
+/** What the own callers will probably need before the bucket refills. */
+function getReserve(state: Holdings.KeyState, nowMs: number): number {
+  const demand = state.demand.getRate(nowMs);
+  const busyRate = BUSY_FRACTION * state.bucket.getLimits().rate;
+  const isBusy = demand > 0 && demand >= busyRate;
+  return Math.max(isBusy ? 1 : 0, demand * RESERVE_S);
+}
--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -105,6 +105,7 @@
   }
 }
 
+/** Reads a member record. */
 export function tryReadMember(text: string): MemberRecord | undefined {
   const raw = tryParseJson(text);
   const isGood = typeof raw?.incarnation === "string" &&
@@ -112,6 +113,7 @@
   return isGood ? (raw as unknown as MemberRecord) : undefined;
 }
 
+/** Reads a shard record. */
 export function tryReadShard(text: string): ShardRecord | undefined {
   const raw = tryParseJson(text);
   const isGood = typeof raw?.owner === "string" &&
@@ -119,6 +121,7 @@
   return isGood ? (raw as unknown as ShardRecord) : undefined;
 }
 
+/** Reads the request of `lease.relay`. */
 export function tryReadRelay(params: unknown): RelayRequest | undefined {
   const raw = asRaw(params);
   return typeof raw?.leaseId === "string"
@@ -126,12 +129,14 @@
     : undefined;
 }
 
+/** Reads the request of `shards.confirm`. */
 export function tryReadConfirm(params: unknown): ConfirmRequest | undefined {
   const raw = asRaw(params);
   const isGood = typeof raw?.domain === "string" && isShardList(raw.shards);
   return isGood ? (raw as unknown as ConfirmRequest) : undefined;
 }
 
+/** Reads the answer of `shards.confirm`. */
 export function tryReadConfirmAnswer(
   result: unknown,
 ): ConfirmAnswer | undefined {
@@ -139,6 +144,7 @@
   return isShardList(raw?.held) ? (raw as unknown as ConfirmAnswer) : undefined;
 }
 
+/** Reads the request of `shards.handover`. */
 export function tryReadHandOver(params: unknown): HandOverRequest | undefined {
   const raw = asRaw(params);
   const isGood = typeof raw?.domain === "string" && isAmount(raw.shard) &&
@@ -157,6 +163,7 @@
   });
 }
 
+/** Reads the request of `budget.borrow`. */
 export function tryReadBorrow(params: unknown): BorrowRequest | undefined {
   const raw = asRaw(params);
   const isGood = typeof raw?.key === "string" && isAmount(raw.want) &&
@@ -164,6 +171,7 @@
   return isGood ? (raw as unknown as BorrowRequest) : undefined;
 }
 
+/** Reads the answer of `budget.borrow`. */
 export function tryReadBorrowAnswer(result: unknown): BorrowAnswer | undefined {
   const raw = asRaw(result);
   const isGood = isAmount(raw?.granted) && isAmount(raw.left) &&
--- a/src/budget/ownership.ts
+++ b/src/budget/ownership.ts
@@ -16,6 +16,7 @@
 import type * as Holdings from "./holdings.ts";
 import * as Messages from "./messages.ts";
 import * as Plan from "./shard_plan.ts";
+import * as ShardStore from "./shard_store.ts";
 import type * as StoreHealth from "./store_health.ts";
 
 /** Wait for a giver's message before a shard is adopted without its content. */
@@ -57,46 +58,14 @@
 
 /** Creates ownership without shards and handles `shards.confirm` and `shards.handover`. */
 export function createOwnership(deps: OwnershipDeps): Ownership {
-  const { clock, domain, health, holdings, log, peers, platform } = deps;
+  const { clock, domain, health, holdings, log, peers } = deps;
   const self = { id: deps.self, incarnation: deps.incarnation };
-  /** Highest version and epoch seen or written, by shard. */
-  const known = new Map<number, { version: number; epoch: number }>();
+  const store = ShardStore.createShardStore(deps);
   /** Epoch at which this instance last started to spend a shard. */
   const startedEpoch = new Map<number, number>();
   const waitingSince = new Map<number, number>();
-  let members: Plan.MemberMap = new Map();
   let isLeaving = false;
   let wasBusy = true;
-  let writes = 0;
-
-  function note(shard: number, version: number, epoch: number): void {
-    const old = known.get(shard);
-    if (old !== undefined && old.version >= version) return;
-    known.set(shard, { version, epoch });
-  }
-
-  async function write(
-    shard: number,
-    version: number,
-    epoch: number,
-    owner: { readonly id: Types.InstanceId; readonly incarnation: string },
-  ): Promise<number | undefined> {
-    const writeId = `${deps.incarnation}-shard-${++writes}`;
-    const record: Messages.ShardRecord = {
-      owner: owner.id,
-      incarnation: owner.incarnation,
-      epoch,
-      writeId,
-    };
-    const key = `shards/${domain}/${shard}`;
-    const text = JSON.stringify(record);
-    const result = await health.track(
-      platform.cas(key, version, text, { writeId }),
-    );
-    if (result.isErr()) return undefined;
-    note(shard, result.value, epoch);
-    return result.value;
-  }
 
   function start(shard: number, epoch: number, how: Holdings.ShardStart) {
     waitingSince.delete(shard);
@@ -111,48 +80,16 @@
     return holdings.deactivate(shard);
   }
 
-  async function listShards(): Promise<
-    ReadonlyMap<number, Plan.ShardEntry> | undefined
-  > {
-    const prefix = `shards/${domain}/`;
-    const listed = await health.track(platform.list(prefix));
-    if (listed.isErr()) return undefined;
-    const entries = new Map<number, Plan.ShardEntry>();
-    for (const { key, value, version } of listed.value) {
-      const shard = Number(key.slice(prefix.length));
-      const record = Messages.tryReadShard(value);
-      // A list read before a write of this instance is out of date.
-      const isOld = version < (known.get(shard)?.version ?? 0);
-      if (record === undefined || isOld) continue;
-      entries.set(shard, { record, version });
-      note(shard, version, record.epoch);
-    }
-    return entries;
-  }
-
-  async function listMembers(): Promise<boolean> {
-    const listed = await health.track(platform.list("members/"));
-    if (listed.isErr()) return false;
-    const found = new Map<Types.InstanceId, string>();
-    for (const { key, value } of listed.value) {
-      const record = Messages.tryReadMember(value);
-      if (record?.domain !== domain) continue;
-      found.set(key.slice("members/".length), record.incarnation);
-    }
-    members = found;
-    return true;
-  }
-
   async function sync(): Promise<void> {
     wasBusy = true;
     if (!deps.isLeaseValid()) return;
-    const entries = await listShards();
-    if (entries === undefined || !(await listMembers())) return;
+    const entries = await store.listShards();
+    if (entries === undefined || !(await store.listMembers())) return;
     wasBusy = false;
     for (let shard = 0; shard < Division.SHARDS_PER_DOMAIN; shard++) {
       const entry = entries.get(shard);
       // Known but not listed: the list was out of date for this shard.
-      if (entry === undefined && known.has(shard)) continue;
+      if (entry === undefined && store.tryGetKnown(shard)) continue;
       await syncShard(shard, entry);
     }
     await balance(entries);
@@ -163,7 +100,7 @@
     entry: Plan.ShardEntry | undefined,
   ): Promise<void> {
     const isActive = holdings.isActive(shard);
-    const step = Plan.planShard(entry, self, isActive, members);
+    const step = Plan.planShard(entry, self, isActive, store.getMembers());
     if (step.kind === "lost") return void stop(shard, "other-holder");
     if (step.kind === "none" || isLeaving) {
       waitingSince.delete(shard);
@@ -182,7 +119,7 @@
   }
 
   function isWithinQuota(): boolean {
-    return holdings.getShards().length < Plan.getQuota(members.size);
+    return holdings.getShards().length < Plan.getQuota(store.getMembers().size);
   }
 
   /** Claims need a settled table: an older one elsewhere may still give the share to others. */
@@ -209,7 +146,7 @@
     }
     const failures = health.getFailures();
     const epoch = (entry?.record.epoch ?? 0) + 1;
-    const version = await write(shard, entry?.version ?? 0, epoch, self);
+    const version = await store.write(shard, entry?.version ?? 0, epoch, self);
     if (version === undefined) return;
     // A failure since lets a disconnected holder count on another full wait;
     // the record is then adopted by a later pass.
@@ -236,23 +173,16 @@
     return answer ? answer.isValid && answer.held.includes(shard) : false;
   }
 
-  /** Domain peers that can receive a shard: registered, live and with the same table. */
   function getReceivers(): readonly Types.InstanceId[] {
     const revision = holdings.tryGetDivision()?.revision;
-    return [...members].filter(([id, incarnation]) => {
-      const member = id === deps.self ? undefined : peers.tryGetMember(id);
-      return member !== undefined && member.isReachable &&
-        member.heartbeat.state === "live" &&
-        member.heartbeat.incarnation === incarnation &&
-        member.heartbeat.tableRevision === revision;
-    }).map(([id]) => id);
+    return Plan.listReceivers(store.getMembers(), peers, revision);
   }
 
   async function balance(
     entries: ReadonlyMap<number, Plan.ShardEntry>,
   ): Promise<void> {
     if (isLeaving || !holdings.isSettled()) return;
-    const counts = Plan.countShards(entries.values(), members);
+    const counts = Plan.countShards(entries.values(), store.getMembers());
     const receiver = Plan.planBalance(counts, deps.self, getReceivers());
     const shard = holdings.getShards()[0];
     if (receiver === undefined || shard === undefined) return;
@@ -264,14 +194,14 @@
     shard: number,
     to: Types.InstanceId,
   ): Promise<void> {
-    const incarnation = members.get(to);
-    const old = known.get(shard);
+    const incarnation = store.getMembers().get(to);
+    const old = store.tryGetKnown(shard);
     const tableRevision = holdings.tryGetDivision()?.revision;
     if (!incarnation || !old || tableRevision === undefined) return;
     const levels = stop(shard, "handover");
     const epoch = old.epoch + 1;
     const owner = { id: to, incarnation };
-    const version = await write(shard, old.version, epoch, owner);
+    const version = await store.write(shard, old.version, epoch, owner);
     if (version === undefined) return;
     const params: Messages.HandOverRequest = {
       domain,
@@ -294,17 +224,17 @@
       req.incarnation === deps.incarnation && req.tableRevision === revision;
     // A late or doubled message must not refill a shard that moved on.
     const isNew = epoch > (startedEpoch.get(shard) ?? 0) &&
-      epoch >= (known.get(shard)?.epoch ?? 0);
+      epoch >= (store.tryGetKnown(shard)?.epoch ?? 0);
     const mayStart = isForThis && isNew && !holdings.isActive(shard) &&
       deps.isLeaseValid() && holdings.isSettled() && !isLeaving;
     if (!mayStart) return false;
-    note(shard, req.version, epoch);
+    store.note(shard, req.version, epoch);
     start(shard, epoch, { kind: "levels", levels: req.levels });
     return true;
   }
 
   async function reconfirm(): Promise<boolean> {
-    const entries = await listShards();
+    const entries = await store.listShards();
     if (entries === undefined) return false;
     for (const shard of holdings.getShards()) {
       const entry = entries.get(shard);
@@ -319,7 +249,7 @@
       // The write makes a take-over decided before it fail.
       const failures = health.getFailures();
       const epoch = entry.record.epoch + 1;
-      const version = await write(shard, entry.version, epoch, self);
+      const version = await store.write(shard, entry.version, epoch, self);
       if (version !== undefined) startedEpoch.set(shard, epoch);
       else if (health.getFailures() !== failures) return false;
       else stop(shard, "lost-while-lapsed");
@@ -329,9 +259,11 @@
 
   async function handOverAll(): Promise<void> {
     isLeaving = true;
-    const entries = await listShards();
-    await listMembers();
-    const counts = new Map(Plan.countShards(entries?.values() ?? [], members));
+    const entries = await store.listShards();
+    await store.listMembers();
+    const counts = new Map(
+      Plan.countShards(entries?.values() ?? [], store.getMembers()),
+    );
     for (const shard of holdings.getShards()) {
       const receiver = Plan.chooseReceiver(counts, getReceivers());
       if (receiver !== undefined) {
@@ -340,9 +272,9 @@
         continue;
       }
       stop(shard, "release");
-      const old = known.get(shard);
+      const old = store.tryGetKnown(shard);
       const nobody = { id: "", incarnation: "" };
-      if (old) await write(shard, old.version, old.epoch + 1, nobody);
+      if (old) await store.write(shard, old.version, old.epoch + 1, nobody);
     }
   }
 
@@ -371,7 +303,7 @@
       for (const shard of shards) stop(shard, "held-by-peer");
     },
     handOverAll,
-    getStorePeers: () => [...members.keys()],
+    getStorePeers: () => [...store.getMembers().keys()],
     isBusy: () => wasBusy,
   };
 }
--- a/src/budget/shard_plan.ts
+++ b/src/budget/shard_plan.ts
@@ -5,6 +5,7 @@
  * instance holds it. Whether the holder's own validity has ended as well is
  * for the caller: it must have reached the store for a full lease period.
  */
+import type * as Contracts from "../contracts.ts";
 import type * as Types from "../types.ts";
 import * as Division from "./division.ts";
 import type * as Messages from "./messages.ts";
@@ -70,6 +71,21 @@
   return counts;
 }
 
+/** Domain peers that can receive a shard: registered, live and with the same table. */
+export function listReceivers(
+  members: MemberMap,
+  peers: Contracts.PeerNet,
+  tableRevision: number | undefined,
+): readonly Types.InstanceId[] {
+  return [...members].filter(([id, incarnation]) => {
+    const member = id === peers.self ? undefined : peers.tryGetMember(id);
+    return member !== undefined && member.isReachable &&
+      member.heartbeat.state === "live" &&
+      member.heartbeat.incarnation === incarnation &&
+      member.heartbeat.tableRevision === tableRevision;
+  }).map(([id]) => id);
+}
+
 /** The member with the fewest shards among `candidates`; undefined when there is none. */
 export function chooseReceiver(
   counts: ReadonlyMap<Types.InstanceId, number>,
