Use outbound.address for connections to targets and relays

undici overwrites localAddress within its connect options, so connections to targets and relays between instances had the system's source address.

Ruled out: the test network (peer connections were cut) and the settings. The option moves to the agent itself.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -80,7 +80,9 @@
   const { localAddress } = opts;
   const local = localAddress === undefined ? {} : { localAddress };
   const common = {
-    connect: { timeout: CONNECT_TIMEOUT_MS, ...local },
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    // Not within `connect`, where undici overwrites it.
+    ...local,
     headersTimeout: 0,
     bodyTimeout: 0,
   };
