Clear the suspicion of a request that a target answered

Nothing called reportAnswered, so an ordinary request that was in flight at two targets that crashed stayed blocked for 5 minutes fleet-wide. Seen in tests/proofs/once_test.ts: GET /bikes, sent by all instances while an order crashed two targets, got 422 at north-1-a afterwards.

Ruled out: the fingerprint (equal requests have equal ones by design) and the report's way to the peers.

Before: 422 at north-1-a. After: 200 at all instances; the order itself stays blocked at all of them.

--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -27,6 +27,7 @@
 
 const MAX_ATTEMPTS = 2;
 const STATUS_SHED = 503;
+const STATUS_SERVER_ERROR = 500;
 
 /** Runs the request; budgets of what did not run are given back. */
 export async function run(
@@ -152,8 +153,10 @@
   const { slot } = placement;
   switch (result.kind) {
     case "answer":
+      reportAnswered(deps, ctx, result.answer.status);
       return finishAnswer(placement, result, latencyMs);
     case "streamed":
+      reportAnswered(deps, ctx, result.status);
       slot.release({ kind: "answered", status: result.status, latencyMs });
       return { kind: "streamed", status: result.status };
     case "not-sent":
@@ -171,6 +174,15 @@
   }
 }
 
+/** A request that is in flight on every target that fails is cleared by its next answer. */
+function reportAnswered(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  status: number,
+): void {
+  if (status < STATUS_SERVER_ERROR) deps.poison.reportAnswered(ctx.fingerprint);
+}
+
 function finishAnswer(
   placement: Place.Placement,
   result: Extract<Exchange.ExchangeResult, { kind: "answer" }>,
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -321,6 +321,8 @@
   isBlocked(fingerprint: string): boolean;
   /** A target's connection broke while it ran this request. */
   reportBreak(fingerprint: string, target: Types.TargetId): void;
+  /** A target answered this request in full, with a status below 500. */
+  reportAnswered(fingerprint: string): void;
 }
 
 /** Retry budget per service: a share of the requests of the last seconds. */
--- a/src/retry/poison.ts
+++ b/src/retry/poison.ts
@@ -36,8 +36,6 @@
 
 /** Poison requests, with the evidence that clears one. */
 export interface ClearablePoison extends Contracts.Poison {
-  /** A target answered this request in full, with a status below 500. */
-  reportAnswered(fingerprint: string): void;
   getSize(): number;
 }
 
--- a/tests/support/fakes.ts
+++ b/tests/support/fakes.ts
@@ -273,6 +273,7 @@
       log: quietLog,
     }),
     poison: {
+      reportAnswered: () => {},
       isBlocked: (fingerprint) => blocked.has(fingerprint),
       reportBreak: (_fingerprint, target) => void broken.push(target),
     },
