Pass relayed orders on to the adopter of a ledger

An order relayed to a stopping issuer waits there while the ledger moves. The issuer was no owner afterwards and answered 113 unknown, so a planned stop interrupted it.

Ruled out: the hand-over itself (no run was lost or repeated). An issuer that handed its ledger over now allows the second hop; the adopter owns the tickets, so the way ends there.

--- a/src/admission/once.ts
+++ b/src/admission/once.ts
@@ -59,8 +59,14 @@
   if (deps.ledger.isOwner(ticket.issuer, ticket.incarnation)) {
     return await serveAsOwner(deps, ctx, ticket);
   }
-  // A second hop would mean that two instances disagree about the owner.
-  if (ctx.caller.isRelayed) return refuse(ctx, "issuerUnreachable", "unknown");
+  // A second hop would mean that two instances disagree about the owner, except
+  // from an issuer that handed its ledger over while the request waited here.
+  const { issuer, incarnation } = ticket;
+  const hasMoved = issuer === deps.peers.self &&
+    deps.ledger.tryGetOwner(issuer, incarnation) !== undefined;
+  if (ctx.caller.isRelayed && !hasMoved) {
+    return refuse(ctx, "issuerUnreachable", "unknown");
+  }
   return await passOn(deps, ctx, ticket);
 }
 
