--- a/testing/fleet/proof.ts
+++ b/testing/fleet/proof.ts
@@ -1,5 +1,6 @@
 /** The fleet that the proofs of requests run on: two instances in one domain, so that a ledger can be handed over. */
 import type * as Types from "../../src/types.ts";
+import * as Wait from "../harness/wait.ts";
 import * as Fleet from "./fleet.ts";
 import type * as Layout from "./layout.ts";
 import * as Network from "./network.ts";
@@ -28,8 +29,38 @@
   getRunning(): readonly Fleet.FleetInstance[];
   /** Sets the same faults at every running target. */
   setTargetFaults(faults: unknown): Promise<void>;
+  /** Ends all faults of the network, the platform and the targets, and resumes what is frozen. */
+  heal(): Promise<void>;
 }
 
+const SERVICE_LIMIT_MS = 12_000;
+
+/** Waits until an instance takes keyed requests and reaches a target. */
+async function waitForService(
+  journal: Requests.Journal,
+  instance: Fleet.FleetInstance,
+): Promise<void> {
+  await Wait.waitFor(
+    async () => {
+      const sent = await journal.send(instance, journal.createRead("/bikes"));
+      return sent.status === 200;
+    },
+    SERVICE_LIMIT_MS,
+    `${instance.id} serves keyed requests`,
+  );
+}
+
+const NO_TARGET_FAULTS = {
+  crashOn: null,
+  crashMode: null,
+  shedAll: null,
+  truncateAfterBytes: null,
+  resetAfterExecuting: null,
+  lateMs: null,
+  omitContentLength: null,
+  only: null,
+};
+
 /** What can be changed. */
 export interface ProofOptions {
   readonly table?: Small.SmallTable;
@@ -61,6 +92,11 @@
   const journal = Requests.createJournal(fleet);
   const getRunning = () =>
     fleet.instances.filter((one) => one.process.isRunning());
+  async function setTargetFaults(faults: unknown): Promise<void> {
+    const running = fleet.targets.filter((one) => one.process.isRunning());
+    await Promise.all(running.map((one) => one.setFaults(faults)));
+  }
+
   return {
     ...fleet,
     network,
@@ -71,10 +107,15 @@
       if (found === undefined) throw new Error(`no instance ${id}`);
       return found;
     },
-    async setTargetFaults(faults) {
-      await Promise.all(fleet.targets.map(async (one) => {
-        if (one.process.isRunning()) await one.setFaults(faults);
-      }));
+    setTargetFaults,
+    async heal() {
+      for (const one of getRunning()) one.process.resume();
+      await network.heal();
+      await fleet.platform.setFaults({ availability: "up" });
+      await setTargetFaults(NO_TARGET_FAULTS);
+      await Promise.all(
+        getRunning().map((one) => waitForService(journal, one)),
+      );
     },
     async stop() {
       await journal.close();
