Open one connection for the tool's calls that start together

Cause: PeerClient.call started a connection whenever none was open, so that each of the calls that began before the first handshake ended opened its own, and all but the last stayed open after close(). Change: calls wait for the connection attempt in progress; one that ends after close() is closed. Before, with three calls at once: 3 connections.

--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -29,8 +29,11 @@
   const server = Connection.createServer();
   const incarnation = Crypto.randomUUID();
   let conn: Connection.Connection | undefined;
+  /** Calls that start while one is connecting wait for the same connection. */
+  let connecting: ReturnType<typeof Dial.dial> | undefined;
+  let isClosed = false;
 
-  async function connect(): ReturnType<typeof Dial.dial> {
+  async function open(): ReturnType<typeof Dial.dial> {
     const dialed = await Dial.dial({
       address: args.address,
       self: { id: args.id, incarnation, role: "tool", seq: 0 },
@@ -38,14 +41,18 @@
       server,
       clock: Clock.systemClock,
     });
-    if (dialed.isOk()) conn = dialed.value;
+    connecting = undefined;
+    if (dialed.isErr()) return dialed;
+    conn = dialed.value;
+    if (isClosed) conn.close("done");
     return dialed;
   }
 
   return {
     async call<T>(method: string, params: unknown, timeoutMs: number) {
+      isClosed = false;
       if (conn === undefined || conn.isClosed()) {
-        const dialed = await connect();
+        const dialed = await (connecting ??= open());
         if (dialed.isErr()) return Err(dialed.error);
         return dialed.value.call<T>(method, params, timeoutMs);
       }
@@ -53,6 +60,7 @@
     },
     tryGetPeerId: () => conn?.remote.id,
     close() {
+      isClosed = true;
       conn?.close("done");
       conn = undefined;
     },
--- a/tests/peer_test.ts
+++ b/tests/peer_test.ts
@@ -442,6 +442,33 @@
     const gone = (await tool.call("status", {}, 2_000)).unwrapErr();
     expect(gone.detail).toBe("connection refused");
   });
+
+  it("opens one connection for the tool's calls that start at the same time", async () => {
+    const a = await start("a", []);
+    a.net.handle("status", (_, from) => ({ from }));
+    let opened = 0;
+    const front = NodeNet.createServer((socket) => {
+      opened++;
+      const [host = "", port = ""] = a.address.split(":");
+      const onward = NodeNet.connect(Number(port), host);
+      for (const each of [socket, onward]) each.on("error", () => {});
+      socket.pipe(onward).pipe(socket);
+    });
+    await new Promise<void>((done) => front.listen(0, "127.0.0.1", done));
+    const { port } = front.address() as NodeNet.AddressInfo;
+    const tool = Client.createPeerClient({
+      address: `127.0.0.1:${port}`,
+      secret: Helpers.SECRET,
+      id: "tool-1",
+    });
+    const answers = await Promise.all(
+      [1, 2, 3].map(() => tool.call("status", {}, 2_000)),
+    );
+    expect(answers.map((one) => one.isOk())).toEqual([true, true, true]);
+    expect(opened).toBe(1);
+    tool.close();
+    front.close();
+  });
 });
 
 describe("heartbeats on the wire", () => {
