Hold new work after a pause of the process until targets are probed

Cause: an instance that was frozen while a target announced that it is leaving sent it the requests that waited in its backlog, because nothing about the target was read before them. Seen 4.25 s after the announcement with 150 ms between instance and target; on the bare loopback the first probe ended before the first request was read. Keyed requests were refused as E104; open routes were not. Ruled out: the instance list (lagged 30 s in the test) and the queue's deadline (5 s). Change: a gap of 1 s in the probing loop makes each target wait for a probe sent after the gap, 1.5 s at most, so that a hanging health endpoint keeps no target out.

Target stand-ins can announce leaving in one place only (announceBy).

--- a/src/targets/entry.ts
+++ b/src/targets/entry.ts
@@ -65,6 +65,9 @@
   shedLimit: number;
   shedsInRow: number;
   pausedUntilMs: number;
+  /** Until then new work waits for a probe sent after `recheckFromMs`. */
+  recheckUntilMs: number;
+  recheckFromMs: number;
 
   ownSlots: readonly number[];
   ownSlotsEpoch: number;
@@ -104,6 +107,8 @@
     shedLimit: Infinity,
     shedsInRow: 0,
     pausedUntilMs: -Infinity,
+    recheckUntilMs: -Infinity,
+    recheckFromMs: -Infinity,
     ownSlots: [],
     ownSlotsEpoch: -1,
     nextProbeAtMs: now,
@@ -121,6 +126,11 @@
   return now < entry.pausedUntilMs;
 }
 
+/** True while what is known of the target is older than a pause of this process. */
+export function isRechecked(entry: Entry, now: number): boolean {
+  return now < entry.recheckUntilMs;
+}
+
 /** Slots of the target that the whole fleet may use now. */
 export function getOpenSlots(
   entry: Entry,
@@ -144,7 +154,7 @@
   now: number,
   isRampOn: boolean,
 ): number {
-  if (isPaused(entry, now)) return 0;
+  if (isPaused(entry, now) || isRechecked(entry, now)) return 0;
   const open = getOpenSlots(entry, now, isRampOn);
   const isAllOpen = open >= entry.info.slots;
   const own = isAllOpen
@@ -180,7 +190,8 @@
   const own = getOwnLimit(entry, now, isRampOn);
   const report = tryGetFreshReport(entry, now);
   const hasShed = now - entry.shedAtMs < SHED_STEP_MS;
-  if (report === undefined || hasShed || isPaused(entry, now)) return own;
+  const isHeld = isPaused(entry, now) || isRechecked(entry, now);
+  if (report === undefined || hasShed || isHeld) return own;
   const open = Math.min(getOpenSlots(entry, now, isRampOn), report.slots);
   const spare = open - Math.max(report.inUse, report.ownInFlight);
   const extra = Math.min(entry.overflowCredit, Math.floor(spare / 2));
--- a/src/targets/pool.ts
+++ b/src/targets/pool.ts
@@ -18,6 +18,10 @@
 /** How often the list of live instances is compared with the last one. */
 const INSTANCES_CHECK_MS = 500;
 const LATENCY_CHECK_MS = 1_000;
+/** With probe interval and time-outs, targets' states are at most 3 s old after a shorter pause. */
+const PROCESS_PAUSE_MS = 1_000;
+/** A probe's longest time: a health endpoint that hangs must not keep a target out. */
+const RECHECK_LIMIT_MS = 1_500;
 
 /** What the pool needs to know of its instance. */
 export interface PoolOptions {
@@ -34,6 +38,8 @@
 
 /** The targets, and what the prober needs. */
 export interface Pool extends Contracts.Targets {
+  /** Called often while probing; a longer gap means that the process was paused. */
+  noteAlive(): void;
   /** Lets time act: slow start, returns, latency checks, pauses that end. */
   tick(): void;
   takeProbe(entry: Entry.Entry, result: Health.ProbeResult): void;
@@ -66,6 +72,23 @@
   let slotsEpoch = 0;
   let instancesCheckedMs = -Infinity;
   let latencyCheckedMs = nowMs();
+  let aliveAtMs: number | undefined;
+
+  /**
+   * After a pause of the process a target may have been leaving for longer than
+   * the bound, so each gets new work only after a probe.
+   */
+  function checkPause(): void {
+    const now = nowMs();
+    if (aliveAtMs === undefined || now - aliveAtMs < PROCESS_PAUSE_MS) return;
+    log.warn("process-was-paused", { ms: Math.round(now - aliveAtMs) });
+    aliveAtMs = now;
+    for (const entry of directory.getAll()) {
+      entry.recheckFromMs = now;
+      entry.recheckUntilMs = now + RECHECK_LIMIT_MS;
+      wantProbe(entry);
+    }
+  }
 
   function refreshInstances(): void {
     const now = nowMs();
@@ -115,6 +138,7 @@
     region: Types.Region,
     exclude?: ReadonlySet<Types.TargetId>,
   ): Contracts.SlotLease | undefined {
+    checkPause();
     refreshInstances();
     const group = directory.getGroup(service, region);
     group.forEach(refreshSlots);
@@ -139,7 +163,8 @@
 
   /** True while a limit of the target grows by time alone. */
   function isTimeLimited(entry: Entry.Entry): boolean {
-    return entry.state === "cold" || Number.isFinite(entry.shedLimit);
+    return entry.state === "cold" || Number.isFinite(entry.shedLimit) ||
+      Number.isFinite(entry.recheckUntilMs);
   }
 
   function tick(): void {
@@ -152,7 +177,9 @@
     }
     const services = new Set<Types.Service>();
     for (const entry of directory.getAll()) {
+      const hasWaited = now >= entry.recheckUntilMs;
       if (isTimeLimited(entry)) services.add(entry.info.service);
+      if (hasWaited) entry.recheckUntilMs = -Infinity;
       Entry.forgetShed(entry, now);
     }
     services.forEach(notifySlotFree);
@@ -160,6 +187,9 @@
 
   function takeProbe(entry: Entry.Entry, result: Health.ProbeResult): void {
     health.takeProbe(entry, result);
+    if (result.startedAtMs >= entry.recheckFromMs) {
+      entry.recheckUntilMs = -Infinity;
+    }
     directory.refresh();
     notifySlotFree(entry.info.service);
   }
@@ -170,6 +200,10 @@
     onSlotFree: (fn) => void slotListeners.push(fn),
     list: () => Array.from(directory.getAll(), Entry.toView),
     setInstances,
+    noteAlive() {
+      checkPause();
+      aliveAtMs = nowMs();
+    },
     tick,
     takeProbe,
     tryGetEntry: directory.tryGet,
--- a/src/targets/prober.ts
+++ b/src/targets/prober.ts
@@ -173,6 +173,7 @@
     signal: AbortSignal,
   ): Promise<void> {
     while (!signal.aborted) {
+      pool.noteAlive();
       pool.tick();
       const now = clock.nowMs();
       for (const entry of pool.getEntries()) {
--- a/testing/caller/caller.ts
+++ b/testing/caller/caller.ts
@@ -97,7 +97,10 @@
   const tickets: string[] = [];
   let known: readonly Types.Address[] = opts.entries;
 
-  async function lookupAt(address: Types.Address): Promise<boolean> {
+  /** Number of tickets that came; undefined when there is no usable answer. */
+  async function lookupAt(
+    address: Types.Address,
+  ): Promise<number | undefined> {
     const url = `http://${address}/v1/lookup?service=${opts.service}` +
       `&tickets=${TICKETS_PER_LOOKUP}`;
     try {
@@ -107,9 +110,9 @@
         signal: AbortSignal.timeout(LOOKUP_TIMEOUT_MS),
       });
       const text = await res.body.text();
-      if (res.statusCode !== 200) return false;
+      if (res.statusCode !== 200) return undefined;
       const answer = JSON.parse(text) as LookupAnswer;
-      if (answer.instances.length === 0) return false;
+      if (answer.instances.length === 0) return undefined;
       cached = answer;
       cachedUntilMs = performance.now() + answer.maxAgeMs;
       tickets.splice(0, tickets.length, ...answer.tickets);
@@ -119,26 +122,28 @@
           ...opts.entries,
         ]),
       ];
-      return true;
+      return answer.tickets.length;
     } catch {
-      return false;
+      return undefined;
     }
   }
 
-  async function refresh(): Promise<void> {
+  async function refresh(needsTicket: boolean): Promise<void> {
     // A random start keeps callers that share a list from asking one instance only.
     const offset = Math.floor(random() * opts.entries.length);
     const own = opts.entries.map((_, i) =>
       opts.entries[(i + offset) % opts.entries.length] ?? ""
     );
     for (const address of new Set([...own, ...known])) {
-      if (await lookupAt(address)) return;
+      const count = await lookupAt(address);
+      // A leaving instance answers look-ups and issues no tickets.
+      if (count !== undefined && (count > 0 || !needsTicket)) return;
     }
   }
 
   async function getEntries(): Promise<readonly Entry[]> {
     if (cached === undefined || performance.now() > cachedUntilMs) {
-      await refresh();
+      await refresh(false);
     }
     return cached?.instances ?? [];
   }
@@ -218,7 +223,7 @@
 
   async function takeTicket(): Promise<string | undefined> {
     if (tickets.length === 0 || performance.now() > cachedUntilMs) {
-      await refresh();
+      await refresh(true);
     }
     return tickets.shift();
   }
--- a/testing/target/exchange.ts
+++ b/testing/target/exchange.ts
@@ -7,7 +7,7 @@
 import type * as Http from "node:http";
 import * as Clock from "../../src/clock.ts";
 import * as Answer from "./answer.ts";
-import type * as Faults from "./faults.ts";
+import * as Faults from "./faults.ts";
 import * as Records from "./records.ts";
 import type * as StandIn from "./stand_in.ts";
 
@@ -72,11 +72,12 @@
 ): void {
   state.probes++;
   const { faults, opts } = state;
-  const truth = faults.leaving === true ? "leaving" : "live";
+  const truthBy = (place: Faults.Announcement) =>
+    Faults.isAnnouncedBy(faults, place) ? "leaving" : "live";
   if (path === "/healthz") {
     if (faults.health === "hanging") return;
     if (faults.health === "failing") return sendJson(res, 500, {});
-    const shown = faults.health === "lying" ? "live" : truth;
+    const shown = faults.health === "lying" ? "live" : truthBy("health");
     if (shown === "live") res.removeHeader("Target-State");
     return sendJson(res, 200, { state: shown });
   }
@@ -85,7 +86,7 @@
   if (faults.load?.kind === "factor") {
     inUse = Math.round(inUse * faults.load.factor);
   }
-  sendJson(res, 200, { inUse, slots: opts.slots, state: truth });
+  sendJson(res, 200, { inUse, slots: opts.slots, state: truthBy("load") });
 }
 
 /** Service time in ms, longer while the target is cold. */
@@ -223,13 +224,16 @@
 
   function handle(req: Request, res: Response): void {
     const path = (req.url ?? "").split("?")[0] ?? "";
-    if (state.faults.leaving === true) {
-      res.setHeader("Target-State", "leaving");
-    }
+    const isProbe = path === "/healthz" || path === "/load";
+    // Without `announceBy` the header stands on probes' answers too.
+    const isMarked = isProbe && state.faults.announceBy !== undefined
+      ? false
+      : Faults.isAnnouncedBy(state.faults, "header");
+    if (isMarked) res.setHeader("Target-State", "leaving");
     res.setHeader("Target-Id", state.opts.id);
     // A broken connection shows in the record; it is no error of the stand-in.
     res.on("error", () => {});
-    if (path === "/healthz" || path === "/load") {
+    if (isProbe) {
       return answerProbe(state, path, res);
     }
     const isFull = state.inUse >= state.opts.slots;
--- a/testing/target/faults.ts
+++ b/testing/target/faults.ts
@@ -11,6 +11,9 @@
   /** Multiplies the slots in use. */
   | { readonly kind: "factor"; readonly factor: number };
 
+/** Places in which a target can say that it is leaving; `header` is that of answers to requests. */
+export type Announcement = "list" | "health" | "load" | "header";
+
 /** Faults in force; an undefined member is off. */
 export interface Faults {
   /** A request whose path contains this text crashes the target. */
@@ -24,6 +27,8 @@
   readonly shedAll?: boolean | undefined;
   /** State leaving in health, load and the `Target-State` header. */
   readonly leaving?: boolean | undefined;
+  /** The only place that shows `leaving`; all of them when undefined. */
+  readonly announceBy?: Announcement | undefined;
   readonly load?: LoadFault | undefined;
   /** `lying` always reports live, `failing` answers 500, `hanging` never answers. */
   readonly health?: "lying" | "failing" | "hanging" | undefined;
@@ -63,6 +68,7 @@
   coldMs: isCount,
   shedAll: isFlag,
   leaving: isFlag,
+  announceBy: isOneOf("list", "health", "load", "header"),
   load: isLoadFault,
   health: isOneOf("lying", "failing", "hanging"),
   truncateAfterBytes: isCount,
@@ -72,6 +78,12 @@
   only: isText,
 };
 
+/** True when the target says in this place that it is leaving. */
+export function isAnnouncedBy(faults: Faults, place: Announcement): boolean {
+  if (faults.leaving !== true) return false;
+  return faults.announceBy === undefined || faults.announceBy === place;
+}
+
 /**
  * Merges a JSON object of faults into those in force; a null member switches a
  * fault off. Throws on an unknown name or a value of the wrong type.
--- a/testing/target/stand_in.ts
+++ b/testing/target/stand_in.ts
@@ -226,7 +226,7 @@
     region: opts.region,
     address: opts.advertise ?? listenAt,
     slots: opts.slots,
-    state: state.faults.leaving === true ? "leaving" : "live",
+    state: Faults.isAnnouncedBy(state.faults, "list") ? "leaving" : "live",
   });
   const registration = opts.platform === undefined
     ? undefined
--- /dev/null
+++ b/tests/proofs/drain_test.ts
@@ -0,0 +1,169 @@
+import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
+import * as Undici from "undici";
+import * as Clock from "../../src/clock.ts";
+import * as Fleet from "../../testing/fleet/fleet.ts";
+import * as Network from "../../testing/fleet/network.ts";
+import * as Small from "../../testing/fleet/small.ts";
+import * as Traffic from "../../testing/fleet/traffic.ts";
+import * as Wait from "../../testing/harness/wait.ts";
+
+/** Bound of promise 10, in ms. */
+const BOUND_MS = 3_000;
+/** How long after the bound work is looked for. */
+const WATCH_MS = 2_500;
+const LONG_LAG_MS = 30_000;
+
+describe("a target that announces that it is leaving", () => {
+  const network = Network.createNetwork(
+    Small.smallLayout.domains.map((one) => one.domain),
+  );
+  let fleet: Fleet.Fleet;
+  let traffic: Traffic.Traffic;
+
+  beforeAll(async () => {
+    const [service] = Small.smallLayout.services;
+    if (service === undefined) throw new Error("the layout has no service");
+    fleet = await Fleet.startFleet({
+      layout: {
+        ...Small.smallLayout,
+        services: [{ ...service, workers: 12, slots: 4, serviceMs: 20 }],
+      },
+      tableCsv: Small.formatSmallTable({ clubRate: 400, clubBurst: 400 }),
+      network,
+    });
+    traffic = Traffic.startTraffic(fleet, "booking", {
+      account: "club",
+      readers: 24,
+      orderers: 6,
+      pauseMs: 60,
+    });
+    for (const target of fleet.targets) {
+      await Wait.waitFor(
+        async () => ((await target.getStats())["executions"] ?? 0) > 20,
+        20_000,
+        `${target.id} has work`,
+      );
+    }
+  });
+  afterEach(async () => {
+    for (const one of fleet.instances) one.process.resume();
+    await network.heal();
+    await fleet.platform.setFaults({
+      availability: "up",
+      slowMs: 0,
+      listLagMs: 0,
+    });
+  });
+  afterAll(async () => {
+    const calls = await traffic.end();
+    await fleet.stop();
+    // Refusals as not run are the answer to a store or a peer that is away.
+    const cut = calls.filter((one) =>
+      one.kind === "failed" || one.kind === "unknown"
+    );
+    expect(Traffic.describeBad(cut)).toEqual([]);
+    console.log(`calls by outcome: ${Traffic.summarize(calls)}`);
+  });
+
+  function getTarget(n: number): Fleet.FleetTarget {
+    const found = fleet.targets.find((one) => one.id === `booking-${n}`);
+    if (found === undefined) throw new Error(`no target ${n}`);
+    return found;
+  }
+
+  async function sendOpen(instance: Fleet.FleetInstance): Promise<number> {
+    const url = `http://${instance.caller}/s/booking/fleet`;
+    const res = await Undici.request(url);
+    await res.body.dump();
+    return res.statusCode;
+  }
+
+  interface Leaving {
+    readonly target: number;
+    readonly faults?: Readonly<Record<string, unknown>>;
+  }
+
+  /** Makes targets leave, and checks their records for work after the bound. */
+  async function expectNoWorkAfterBound(
+    leaving: readonly Leaving[],
+    during: () => Promise<void> = () => Clock.sleep(BOUND_MS + WATCH_MS),
+  ): Promise<void> {
+    const announced = new Map<number, number>();
+    for (const { target, faults } of leaving) {
+      await getTarget(target).setFaults({ leaving: true, ...faults });
+      announced.set(target, Date.now());
+    }
+    await during();
+    const others = fleet.targets.filter((one) =>
+      !leaving.some(({ target }) => one.id === `booking-${target}`)
+    );
+    const last = Math.max(...announced.values()) + BOUND_MS;
+    const elsewhere = await Promise.all(others.map((one) => one.getRecords()));
+    const after = elsewhere.flat().filter((one) => one.startedWallMs > last);
+    expect(after.length, "traffic goes on elsewhere").toBeGreaterThan(50);
+    for (const [n, atMs] of announced) {
+      const records = await getTarget(n).getRecords();
+      const before = records.filter((one) => one.startedWallMs <= atMs);
+      expect(before.length, `booking-${n} had work`).toBeGreaterThan(5);
+      const late = records.filter((one) => one.startedWallMs > atMs + BOUND_MS)
+        .map((one) => `${one.method} ${one.startedWallMs - atMs} ms later`);
+      expect(late, `booking-${n} after the bound`).toEqual([]);
+      const cut = records.filter((one) => one.outcome === "cancelled");
+      expect(cut, `booking-${n} completes what runs`).toEqual([]);
+    }
+  }
+
+  it("gets no work when only the instance list says so, with one domain cut off from the platform", async () => {
+    await network.cut("north-1", Network.PLATFORM);
+    await expectNoWorkAfterBound([
+      { target: 1, faults: { announceBy: "list" } },
+    ]);
+  });
+
+  it("gets no work when the list lags and only health, load or an answer says so", async () => {
+    await fleet.platform.setFaults({ listLagMs: LONG_LAG_MS });
+    await expectNoWorkAfterBound([
+      { target: 2, faults: { announceBy: "health" } },
+      { target: 3, faults: { announceBy: "load", health: "lying" } },
+      { target: 4, faults: { announceBy: "header", health: "lying" } },
+    ]);
+  });
+
+  it("gets no work when the platform is down and health hangs or lies", async () => {
+    await fleet.platform.setFaults({ availability: "hang" });
+    await expectNoWorkAfterBound([
+      { target: 5, faults: { announceBy: "load", health: "hanging" } },
+      { target: 6, faults: { health: "lying" } },
+    ]);
+  });
+
+  it("gets no work when the platform is slow, the list lags and two domains are apart", async () => {
+    await fleet.platform.setFaults({ slowMs: 3_000, listLagMs: LONG_LAG_MS });
+    await network.cut("north-1", "south-1");
+    await expectNoWorkAfterBound([{
+      target: 7,
+      faults: { health: "hanging" },
+    }]);
+  });
+
+  it("gets no work from an instance that was frozen when it was announced", async () => {
+    const frozen = fleet.instances.find((one) => one.domain === "south-2");
+    if (frozen === undefined) throw new Error("no instance in south-2");
+    await fleet.platform.setFaults({ listLagMs: LONG_LAG_MS });
+    // On a fast network the first probe after the pause ends before a request is read.
+    const slow = { delayMs: 150 };
+    await network.setFaults("south-2", "south-2", slow);
+    await network.setFaults("south-2", "south-1", slow);
+    frozen.process.freeze();
+    const waiting: Promise<number>[] = [];
+    await expectNoWorkAfterBound([{ target: 8 }], async () => {
+      await Clock.sleep(BOUND_MS + 1_000);
+      // An open route, because keys are refused after a pause for another reason.
+      for (let i = 0; i < 40; i++) waiting.push(sendOpen(frozen));
+      await Clock.sleep(200);
+      frozen.process.resume();
+      await Clock.sleep(WATCH_MS);
+    });
+    expect(new Set(await Promise.all(waiting))).toEqual(new Set([200]));
+  });
+});
--- a/tests/targets_test.ts
+++ b/tests/targets_test.ts
@@ -88,6 +88,41 @@
   return leases.filter((lease) => lease.target.id === id).length;
 }
 
+describe("a pause of the process", () => {
+  function createPaused() {
+    const rig = createRig();
+    rig.pool.setInstances([target("t1")]);
+    rig.pool.noteAlive();
+    rig.probe("t1");
+    rig.pass(900);
+    rig.acquire().release(ANSWERED);
+    const wanted: string[] = [];
+    rig.pool.setProbeWanted((entry) => void wanted.push(entry.info.id));
+    rig.pass(200);
+    return { ...rig, wanted };
+  }
+
+  it("keeps new work from targets until a probe: one may have been leaving for long", () => {
+    const rig = createPaused();
+    expect(rig.pool.tryAcquire("s", "l")).toBeUndefined();
+    expect(rig.wanted).toEqual(["t1"]);
+    rig.probe("t1", { startedAtMs: 1_500 });
+    expect(rig.pool.tryAcquire("s", "l")).toBeUndefined();
+    rig.probe("t1");
+    rig.acquire();
+  });
+
+  it("does not keep a target out whose health endpoint hangs", () => {
+    const rig = createPaused();
+    expect(rig.pool.tryAcquire("s", "l")).toBeUndefined();
+    for (let i = 0; i < 2; i++) {
+      rig.pass(750);
+      rig.pool.noteAlive();
+    }
+    rig.acquire();
+  });
+});
+
 describe("slots", () => {
   it("gives each slot one owner and moves only what a new instance gains", () => {
     const arbitrary = FastCheck.record({
