Do not pause answers on connections that are about to close

Cause: undici's HTTP/1 parser (7.30.2) asserts that it is not paused when a connection that does not outlive its answer ends. The exchange pauses for the link budget and for slow callers, and each once-request asked its target to close the connection. When the end of the connection came in the same read as the last bytes, the assertion ended the whole instance with exit code 1 and cut all of its requests. Ruled out: the stop itself (the instance died in the drain's first second, and also with no drain going on), and the peers' connections. Change: an answer on a connection that ends with it is not paused; what waits is bounded by 8 MB, over which the exchange breaks. A connection for one exchange does not ask for the close; it is destroyed after the exchange. Not covered: an HTTP/1.0 target that sends a content length and closes. Before: tests/exchange_test.ts ends with the assertion. After: 80 whole answers of 80.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -12,6 +12,8 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 4_000;
+/** Bound of an answer's part that waits when its sender can't be held back. */
+const MAX_WAITING_BYTES = 8 * 1024 * 1024;
 
 /** A request for a target. */
 export interface TargetRequest {
@@ -90,7 +92,22 @@
     keepAliveTimeout: KEEP_ALIVE_MS,
     keepAliveMaxTimeout: KEEP_ALIVE_MS,
   });
-  const single = new Undici.Agent({ ...common, pipelining: 0 });
+  const singles = new Set<Undici.Client>();
+
+  /**
+   * A connection for one exchange. It does not ask the target to close it, because
+   * an answer on a connection that ends can't be held back (see `canHoldBack`).
+   */
+  function createSingle(address: string): Undici.Client {
+    const client = new Undici.Client(`http://${address}`, common);
+    singles.add(client);
+    return client;
+  }
+
+  function endSingle(client: Undici.Client): void {
+    singles.delete(client);
+    void client.destroy();
+  }
 
   function exchange(
     req: TargetRequest,
@@ -98,23 +115,27 @@
     signal: AbortSignal,
     throttle?: (bytes: number) => Promise<void>,
   ): Promise<ExchangeResult> {
-    const agent = req.isRead ? reusing : single;
+    const single = req.isRead ? undefined : createSingle(req.address);
     return new Promise((resolve) => {
       const state = {
         req,
         sink,
         bufferBytes: opts.bufferBytes,
         throttle,
-        resolve,
+        resolve(result: ExchangeResult) {
+          if (single !== undefined) endSingle(single);
+          resolve(result);
+        },
       };
-      dispatch(agent, state, signal);
+      dispatch(single ?? reusing, state, signal);
     });
   }
 
   return {
     exchange,
     async close() {
-      await Promise.all([reusing.destroy(), single.destroy()]);
+      const all = [reusing, ...singles];
+      await Promise.all(all.map((one) => one.destroy()));
     },
   };
 }
@@ -142,7 +163,7 @@
 }
 
 function dispatch(
-  agent: Undici.Agent,
+  dispatcher: Undici.Dispatcher,
   state: ExchangeState,
   signal: AbortSignal,
 ): void {
@@ -155,6 +176,8 @@
   let chunks: Buffer[] = [];
   let size = 0;
   let writing = Promise.resolve();
+  let isHoldable = false;
+  let waitingBytes = 0;
 
   function settle(result: ExchangeResult): void {
     if (isSettled) return;
@@ -211,7 +234,7 @@
 
   if (signal.aborted) return settleError("aborted");
   signal.addEventListener("abort", onAbort, { once: true });
-  agent.dispatch(
+  dispatcher.dispatch(
     {
       origin: `http://${req.address}`,
       method: req.method as Undici.Dispatcher.HttpMethod,
@@ -229,16 +252,24 @@
         if (statusCode < 200) return;
         status = statusCode;
         rawHeaders = toHeaderPairs(_controller, _headers);
+        isHoldable = canHoldBack(rawHeaders);
       },
       onResponseData(flow, chunk) {
         // After a pause undici's parser repeats an empty chunk, and pausing for it would loop.
         if (chunk.length === 0) return;
         if (tryHold(chunk)) return;
-        flow.pause();
+        waitingBytes += chunk.length;
+        if (isHoldable) flow.pause();
+        else if (waitingBytes > MAX_WAITING_BYTES) {
+          return flow.abort(new Error("the answer outgrew its buffer"));
+        }
         // The buffer belongs to the parser's read and is copied before the wait.
         const copy = Buffer.from(chunk);
         writing = writing.then(() => passOn(copy)).then(
-          () => flow.resume(),
+          () => {
+            waitingBytes -= copy.length;
+            if (isHoldable) flow.resume();
+          },
           (err) => flow.abort(err instanceof Error ? err : new Error("sink")),
         );
       },
@@ -252,6 +283,21 @@
   );
 }
 
+/**
+ * True when the connection outlives the answer. undici's parser (7.30.2) fails an
+ * assertion, which ends the process, when a connection that is to close ends
+ * while the answer is paused.
+ */
+function canHoldBack(headers: Headers.HeaderPairs): boolean {
+  const get = (wanted: string) =>
+    headers.filter(([name]) => name.toLowerCase() === wanted)
+      .map(([, value]) => value.toLowerCase()).join(",");
+  const isClosing = get("connection").includes("close");
+  const hasEnd = get("content-length") !== "" ||
+    get("transfer-encoding").includes("chunked");
+  return hasEnd && !isClosing;
+}
+
 function toHeaderPairs(
   controller: Undici.Dispatcher.DispatchController,
   headers: Readonly<Record<string, string | string[] | undefined>>,
