--- a/testing/harness/temp.ts
+++ b/testing/harness/temp.ts
@@ -25,3 +25,8 @@
   Fs.writeFileSync(path, content);
   return path;
 }
+
+/** Replaces the content of a file that `writeTempFile` made. */
+export function replaceFile(path: string, content: string): void {
+  Fs.writeFileSync(path, content);
+}
