--- a/tests/targets_test.ts
+++ b/tests/targets_test.ts
@@ -6,12 +6,12 @@
 
 describe("a pause of the process", () => {
   function createPaused() {
-    const rig = createRig();
-    rig.pool.setInstances([target("t1")]);
+    const rig = TargetPool.createRig();
+    rig.pool.setInstances([TargetPool.target("t1")]);
     rig.pool.noteAlive();
     rig.probe("t1");
     rig.pass(900);
-    rig.acquire().release(ANSWERED);
+    rig.acquire().release(TargetPool.ANSWERED);
     const wanted: string[] = [];
     rig.pool.setProbeWanted((entry) => void wanted.push(entry.info.id));
     rig.pass(200);
