Close the gaps of keyed requests at both ends of a store outage

Cause: evidence that keys are current could run out up to 2 s before a majority of domains counted the store as down (3 s without an answer, against evidence that is up to 1 s old when the outage starts), and was missing again from the store's recovery until the next watch. Seen in stop_test: reads refused with code 104 while the platform was down. Ruled out: heartbeats lost under load (peers were reachable throughout). Change: heartbeats say whether the sender's last call to the store failed, which ends the waiting for silence; a known outage counts as evidence that is half the limit old; a watch waits half a second. Before: the new test in config_test.ts refuses at 100 ms into an outage.

--- a/src/config/freshness.ts
+++ b/src/config/freshness.ts
@@ -5,7 +5,9 @@
  * force here. It comes from an own read, dated to when the read was sent, or
  * from a peer's heartbeat whose keys revision is not above the own one: the
  * peer's evidence age plus the heartbeat's age. Relaying only adds to an age, so
- * peers can't confirm each other without the store.
+ * peers can't confirm each other without the store. A store that a majority of
+ * domains finds down is evidence, too: nothing can be withdrawn there, and the
+ * operators' tool pushes withdrawals to the instances.
  */
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
@@ -14,11 +16,12 @@
 /** Results are reused this long, as each request asks. */
 const CACHE_MS = 20;
 /**
- * Share of the staleness limit after which a peer counts as not reaching the
- * store. Watchers have an answer each second; a larger share would refuse
- * requests between the limit's end and the finding that the store is down.
+ * Share of the staleness limit after which an instance counts as not reaching
+ * the store although no call of its own has failed yet.
  */
 const STORE_LOST_SHARE = 0.75;
+/** Share of the staleness limit that evidence from a known outage is old. */
+const OUTAGE_AGE_SHARE = 0.5;
 
 /** What freshness needs of the configuration. */
 export interface KeysState {
@@ -42,9 +45,9 @@
 }): Contracts.Freshness {
   const { peers, platform, config, clock, cfg } = args;
   const storeLostMs = cfg.stalenessLimitMs * STORE_LOST_SHARE;
+  const outageAgeMs = cfg.stalenessLimitMs * OUTAGE_AGE_SHARE;
   let evidenceAtMs = -Infinity;
   let scannedAtMs = -Infinity;
-  let isStoreDown = false;
 
   function takeEvidence(
     heartbeat: Types.Heartbeat,
@@ -65,6 +68,7 @@
   function contradictsOutage(member: Types.Member): boolean {
     const { heartbeat, ageMs } = member;
     if (heartbeat.keysRevision > config.getKeysRevision()) return true;
+    if (heartbeat.isStoreFailing) return false;
     return heartbeat.storeSeenMsAgo + ageMs <= storeLostMs;
   }
 
@@ -81,7 +85,8 @@
     nowMs: number,
   ): boolean {
     const answeredAtMs = platform.getLastAnsweredAtMs() ?? -Infinity;
-    if (nowMs - answeredAtMs <= storeLostMs) return false;
+    const isLost = platform.isFailing() || nowMs - answeredAtMs > storeLostMs;
+    if (!isLost) return false;
     const reachable = members.filter((m) => m.isReachable);
     if (reachable.some(contradictsOutage)) return false;
     const reached = new Set(reachable.map((m) => m.heartbeat.domain));
@@ -99,7 +104,10 @@
     for (const { heartbeat, ageMs } of members) {
       takeEvidence(heartbeat, ageMs, nowMs);
     }
-    isStoreDown = findOutage(members, nowMs);
+    if (!findOutage(members, nowMs)) return;
+    // Dated back, so that after the outage there is time for a read of the keys
+    // but no more than that.
+    evidenceAtMs = Math.max(evidenceAtMs, nowMs - outageAgeMs);
   }
 
   function isWithinLimit(nowMs: number): boolean {
@@ -112,7 +120,7 @@
       const nowMs = clock.nowMs();
       if (isWithinLimit(nowMs)) return true;
       scan(nowMs);
-      return isWithinLimit(nowMs) || isStoreDown;
+      return isWithinLimit(nowMs);
     },
     getAgeMs() {
       const nowMs = clock.nowMs();
--- a/src/config/watchers.ts
+++ b/src/config/watchers.ts
@@ -8,9 +8,11 @@
 
 /**
  * Longest wait of one watch. Each answer is evidence that the keys are current,
- * and callers are refused after 4 s without; a second leaves time for relaying.
+ * and callers are refused after 4 s without. With half a second, the evidence at
+ * the start of an outage lasts longer than a hanging call and a heartbeat take
+ * to make the outage known (2.5 s).
  */
-export const WATCH_WAIT_MS = 1_000;
+export const WATCH_WAIT_MS = 500;
 /** Members of a domain that watch; more would only cost the store calls. */
 export const WATCHERS_PER_DOMAIN = 2;
 /** Every instance reads the store itself this often, whatever its peers say. */
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -54,6 +54,8 @@
   listInstances(): Promise<Result<readonly Types.PlatformInstance[], Failure>>;
   /** Monotonic time in ms at which the last successful call was sent; undefined before the first. */
   getLastAnsweredAtMs(): number | undefined;
+  /** True when the call that ended last got no answer. */
+  isFailing(): boolean;
 }
 
 /** Handles one JSON-RPC method; what it returns is the result, a thrown error becomes an RPC error. */
--- a/src/daemon/heartbeat.ts
+++ b/src/daemon/heartbeat.ts
@@ -67,6 +67,7 @@
       tableRevision: sources?.config.getTable()?.revision ?? 0,
       keysRevision: sources?.config.getKeysRevision() ?? 0,
       storeSeenMsAgo: getAge(sources?.platform.getLastAnsweredAtMs()),
+      isStoreFailing: sources?.platform.isFailing() ?? true,
       relayedStoreSeenMsAgo: Math.round(Math.min(evidenceMs, NEVER_MS)),
       load: sources === undefined ? 0 : getLoad(sources),
       shards: sources?.budgets.getShards() ?? [],
--- a/src/peer/heartbeat.ts
+++ b/src/peer/heartbeat.ts
@@ -58,7 +58,8 @@
     raw.load,
   ];
   const isGood = [...texts, ...addresses].every(isText) &&
-    numbers.every(isCount) && STATES.includes(state) &&
+    numbers.every(isCount) && typeof raw.isStoreFailing === "boolean" &&
+    STATES.includes(state) &&
     Array.isArray(shards) && shards.every(isCount);
   // Every field was checked above.
   return isGood ? raw as unknown as Types.Heartbeat : undefined;
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -34,7 +34,7 @@
 ): Promise<T> {
   const abort = new AbortController();
   const cancel = () => abort.abort();
-  const timer = setTimeout(cancel, ms);
+  const timer = setTimeout(() => abort.abort(Exchange.TIMED_OUT), ms);
   signal?.addEventListener("abort", cancel);
   if (signal?.aborted) cancel();
   try {
@@ -167,6 +167,7 @@
       );
     },
     getLastAnsweredAtMs: exchange.getLastAnsweredAtMs,
+    isFailing: exchange.isFailing,
     close: exchange.close,
   };
 }
--- a/src/platform/exchange.ts
+++ b/src/platform/exchange.ts
@@ -32,6 +32,8 @@
   /** Never rejects; ends at once when `signal` aborts. */
   send(call: Call, signal: AbortSignal): Promise<Reply>;
   getLastAnsweredAtMs(): number | undefined;
+  /** True when the call that ended last got no answer. */
+  isFailing(): boolean;
   close(): Promise<void>;
 }
 
@@ -45,6 +47,13 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+/** Abort reason of a call whose time is over; any other reason is a cancellation. */
+export const TIMED_OUT = new Error("no answer in time");
+
+function isCancelled(signal: AbortSignal): boolean {
+  return signal.aborted && signal.reason !== TIMED_OUT;
+}
+
 function getErrorCode(err: unknown): string {
   const code = (err as { code?: unknown } | undefined)?.code;
   return typeof code === "string" ? code : String(err);
@@ -93,6 +102,7 @@
     bodyTimeout: 0,
   });
   let lastAnsweredAtMs: number | undefined;
+  let isFailing = false;
 
   async function exchange(call: Call, signal: AbortSignal): Promise<Reply> {
     const sentAtMs = clock.nowMs();
@@ -105,9 +115,11 @@
     });
     const body = tryParseObject(await readText(res.body));
     if (res.statusCode >= 500 || body === undefined) {
+      isFailing = true;
       return { kind: "lost", detail: `status ${res.statusCode}` };
     }
     lastAnsweredAtMs = Math.max(lastAnsweredAtMs ?? sentAtMs, sentAtMs);
+    isFailing = false;
     return { kind: "answered", status: res.statusCode, body };
   }
 
@@ -118,11 +130,14 @@
         return await exchange(call, signal);
       } catch (err) {
         const detail = signal.aborted ? "no answer in time" : getErrorCode(err);
+        // A cancelled call says nothing about the store.
+        isFailing ||= !isCancelled(signal);
         const isUnsent = CONNECT_ERRORS.has(detail);
         return { kind: isUnsent ? "not-sent" : "lost", detail };
       }
     },
     getLastAnsweredAtMs: () => lastAnsweredAtMs,
+    isFailing: () => isFailing,
     close: () => pool.destroy(),
   };
 }
--- a/src/types.ts
+++ b/src/types.ts
@@ -118,6 +118,8 @@
   readonly keysRevision: number;
   /** Milliseconds since the sender itself had an answer from the store. */
   readonly storeSeenMsAgo: number;
+  /** True when the sender's last call to the store got no answer. */
+  readonly isStoreFailing: boolean;
   /** The least such age over the sender and the peers that it hears. */
   readonly relayedStoreSeenMsAgo: number;
   /** Requests in flight divided by slots held; 1 is full. */
--- a/testing/bench/heartbeats.ts
+++ b/testing/bench/heartbeats.ts
@@ -49,6 +49,7 @@
       tableRevision: 12,
       keysRevision: 7,
       storeSeenMsAgo: Math.random() * 3_000,
+      isStoreFailing: false,
       relayedStoreSeenMsAgo: Math.random() * 1_500,
       load: Math.random(),
       shards: [index % 8],
--- a/tests/budget_fakes.ts
+++ b/tests/budget_fakes.ts
@@ -253,6 +253,7 @@
         }),
       listInstances: () => call(() => Ok([])),
       getLastAnsweredAtMs: () => undefined,
+      isFailing: () => false,
     };
   }
 
@@ -339,6 +340,7 @@
       tableRevision: table.revision,
       keysRevision: 0,
       storeSeenMsAgo: 0,
+      isStoreFailing: false,
       relayedStoreSeenMsAgo: 0,
       load: 0,
       shards: budgets.getShards(),
--- a/tests/config_helpers.ts
+++ b/tests/config_helpers.ts
@@ -68,6 +68,7 @@
         Promise.resolve(answer(entries.get(key), performance.now())),
       watch,
       getLastAnsweredAtMs: () => answeredAtMs,
+      isFailing: isLost,
       list: unused,
       cas: unused,
       remove: unused,
@@ -191,7 +192,7 @@
   platform: Contracts.PlatformClient,
   freshness: Contracts.Freshness,
 ): void {
-  const define = (name: keyof Types.Heartbeat, get: () => number) =>
+  const define = (name: keyof Types.Heartbeat, get: () => number | boolean) =>
     Object.defineProperty(heartbeat, name, { get, enumerable: true });
   define("tableRevision", () => config.getTable()?.revision ?? 0);
   define("keysRevision", () => config.getKeysRevision());
@@ -199,5 +200,6 @@
     "storeSeenMsAgo",
     () => performance.now() - (platform.getLastAnsweredAtMs() ?? -Infinity),
   );
+  define("isStoreFailing", () => platform.isFailing());
   define("relayedStoreSeenMsAgo", () => freshness.getAgeMs());
 }
--- a/tests/config_test.ts
+++ b/tests/config_test.ts
@@ -276,7 +276,12 @@
   function createCase(
     members: readonly Types.Member[],
     domains: readonly string[] = ["d1", "d2", "d3"],
-    own: { readAtMs?: number; answeredAtMs?: number; revision?: number } = {},
+    own: {
+      readAtMs?: number;
+      answeredAtMs?: number;
+      isFailing?: boolean;
+      revision?: number;
+    } = {},
     whenIsolated: "refuse" | "serve" = "refuse",
   ) {
     const state = { nowMs: 100_000, members, ...own };
@@ -284,6 +289,7 @@
       peers: { getMembers: () => state.members } as Contracts.PeerNet,
       platform: {
         getLastAnsweredAtMs: () => state.answeredAtMs,
+        isFailing: () => state.isFailing ?? false,
       } as Contracts.PlatformClient,
       config: {
         getKeysRevision: () => state.revision ?? 5,
@@ -369,6 +375,26 @@
     expect(createCase([b, c], []).freshness.isCurrent()).toBe(false);
   });
 
+  it("leaves no gap before an outage is known, and one read's time after it", () => {
+    const failing = {
+      storeSeenMsAgo: 100,
+      isStoreFailing: true,
+      relayedStoreSeenMsAgo: 60_000,
+    };
+    const { state, freshness } = createCase(
+      [createMember("b", "d2", failing)],
+      undefined,
+      { answeredAtMs: 99_900, isFailing: true },
+    );
+    expect(freshness.isCurrent()).toBe(true);
+    state.isFailing = false;
+    state.answeredAtMs = state.nowMs;
+    state.nowMs += 1_900;
+    expect(freshness.isCurrent()).toBe(true);
+    state.nowMs += 200;
+    expect(freshness.isCurrent()).toBe(false);
+  });
+
   it("refuses when a reached peer reaches the store or has newer keys", () => {
     const b = createMember("b", "d2", lost);
     const seesStore = createMember("c", "d3", {
--- a/tests/peer_helpers.ts
+++ b/tests/peer_helpers.ts
@@ -33,6 +33,7 @@
     tableRevision: 0,
     keysRevision: 0,
     storeSeenMsAgo: 0,
+    isStoreFailing: false,
     relayedStoreSeenMsAgo: 0,
     load: 0.25,
     shards: [],
--- a/tests/platform_writes_test.ts
+++ b/tests/platform_writes_test.ts
@@ -89,6 +89,7 @@
       return Promise.resolve(fate === "answered" ? reply : LOST);
     },
     getLastAnsweredAtMs: () => undefined,
+    isFailing: () => false,
     close: () => Promise.resolve(),
   };
   return {
