Measure ledgers, look-up answers, member records and the design mesh

Cause: the capacity page needs slopes for ledger holders and for the size of look-up answers and member records.

Change: bench ledger; lookup prints answers by members; store prints the bytes of a member record; heartbeats prints the connections chosen for 620 members.

--- a/testing/bench/heartbeats.ts
+++ b/testing/bench/heartbeats.ts
@@ -1,6 +1,7 @@
 /** Traffic and CPU of heartbeats between light peers in one process. */
 import * as Clock from "../../src/clock.ts";
 import * as Log from "../../src/log.ts";
+import * as Mesh from "../../src/peer/mesh.ts";
 import * as Net from "../../src/peer/net.ts";
 import * as Supervisor from "../../src/supervisor.ts";
 import type * as Types from "../../src/types.ts";
@@ -8,6 +9,9 @@
 
 const SIZES = [4, 16, 64] as const;
 const DOMAINS = 6;
+/** Section 1.6. */
+const DESIGN_NODES = 620;
+const DESIGN_DOMAINS = 17;
 const SAMPLES = 5;
 const SAMPLE_MS = 1_000;
 /** Connecting and the first rounds of discovery are not measured. */
@@ -142,10 +146,34 @@
   return cost;
 }
 
+/** Prints the connections of a node at the size to design for, by the mesh's own choice. */
+function printDesignMesh(report: Report.Report): void {
+  const members = Array.from({ length: DESIGN_NODES }, (_, i) => ({
+    id: `entry-${i}`,
+    domain: `domain-${i % DESIGN_DOMAINS}`,
+    isUsable: true,
+  }));
+  const links = new Map(members.map((one) => [one.id, new Set<string>()]));
+  for (const one of members) {
+    for (const other of Mesh.selectPeers(one, members)) {
+      links.get(one.id)?.add(other);
+      links.get(other)?.add(one.id);
+    }
+  }
+  const counts = [...links.values()].map((one) => one.size);
+  report.line({
+    nodes: DESIGN_NODES,
+    domains: DESIGN_DOMAINS,
+    meanConnectionsPerNode: (sum(counts) / counts.length).toFixed(1),
+    maxConnectionsPerNode: Math.max(...counts),
+  });
+}
+
 /** Runs the bench: one line per fleet size; the smallest is the baseline. */
 export async function run(report: Report.Report): Promise<void> {
   let cost: Cost = { bytesPerS: 0, cpuPercent: 0 };
   for (const size of SIZES) cost = await measure(report, size);
+  printDesignMesh(report);
   report.figure({
     figure: "cpu_per_peer_of_64",
     value: cost.cpuPercent,
--- a/testing/bench/keys.ts
+++ b/testing/bench/keys.ts
@@ -8,6 +8,7 @@
 import * as Clock from "../../src/clock.ts";
 import * as Table from "../../src/table/table.ts";
 import type * as Types from "../../src/types.ts";
+import * as Memory from "./memory.ts";
 import type * as Report from "./report.ts";
 
 /**
@@ -38,18 +39,12 @@
   return { table: table.value, bytes: Buffer.byteLength(csv) };
 }
 
-function collectGarbage(): number {
-  globalThis.gc?.();
-  const { heapUsed, external } = process.memoryUsage();
-  return heapUsed + external;
-}
-
 /** Measures one size; returns the memory in MB. */
 function measure(report: Report.Report, accounts: number): number {
   const parsedAtMs = performance.now();
   const { table, bytes } = createTable(accounts);
   const parseMs = performance.now() - parsedAtMs;
-  const before = collectGarbage();
+  const before = Memory.getUsedBytes();
   const startedAtMs = performance.now();
   const division = Division.createDivision(table);
   const holdings = Holdings.createHoldings({
@@ -62,7 +57,7 @@
     holdings.activate(shard, { kind: "full" });
   }
   const buildMs = performance.now() - startedAtMs;
-  const memory = collectGarbage() - before;
+  const memory = Memory.getUsedBytes() - before;
   const tickedAtMs = performance.now();
   for (let i = 0; i < TICKS; i++) holdings.applyGrowth();
   const tickMs = (performance.now() - tickedAtMs) / TICKS;
@@ -87,13 +82,9 @@
 }
 
 /** Runs the bench. */
-export async function run(report: Report.Report): Promise<void> {
+export function run(report: Report.Report): Promise<void> {
   // The first run compiles the code and is not reported.
-  const { setFlagsFromString } = await import("node:v8");
-  setFlagsFromString("--expose-gc");
-  globalThis.gc ??= (await import("node:vm")).runInNewContext("gc");
-  const silent: Report.Report = { ...report, line: () => {} };
-  measure(silent, SIZES[0]);
+  measure({ ...report, line: () => {} }, SIZES[0]);
   let memoryMb = 0;
   for (const size of SIZES) memoryMb = measure(report, size);
   report.figure({
@@ -103,4 +94,5 @@
     bound: MAX_MB,
     limit: "at-most",
   });
+  return Promise.resolve();
 }
--- /dev/null
+++ b/testing/bench/ledger.ts
@@ -0,0 +1,78 @@
+/**
+ * Cost of the ledger of tickets at three sizes: memory and claims a second.
+ * The baseline is the smallest ledger.
+ */
+import * as Clock from "../../src/clock.ts";
+import type * as Contracts from "../../src/contracts.ts";
+import * as Ledger from "../../src/once/ledger.ts";
+import * as Memory from "./memory.ts";
+import type * as Report from "./report.ts";
+
+const SIZES = [1_000, 10_000, 50_000] as const;
+/** An order's answer. */
+const ANSWER_BYTES = 200;
+/** The setting's default, `limits.ledger_bytes`, and the node's limit of section 1.6. */
+const LEDGER_BYTES = 16 * 1024 * 1024;
+const MAX_MB = 32;
+
+function createTicket(i: number) {
+  return {
+    id: `${i}-0123456789abcdef0123456789abcdef`,
+    issuer: "entry-1",
+    incarnation: "incarnation-1",
+    account: "bench",
+    service: "order",
+    expiresAtMs: Date.now() + 600_000,
+    isExpired: false,
+  };
+}
+
+function createAnswer(): Contracts.StoredAnswer {
+  return {
+    status: 200,
+    headers: [["content-type", "application/json"]],
+    body: new Uint8Array(ANSWER_BYTES),
+  };
+}
+
+async function measure(report: Report.Report, count: number): Promise<number> {
+  const before = Memory.getUsedBytes();
+  const ledger = Ledger.createLocalLedger({
+    maxEntries: count,
+    maxBytes: LEDGER_BYTES,
+    clock: Clock.systemClock,
+  });
+  const { signal } = new AbortController();
+  const from = process.cpuUsage();
+  for (let i = 0; i < count; i++) {
+    const claim = await ledger.claim(createTicket(i), `print-${i}`, signal);
+    if (claim.kind === "run") claim.run.ran(createAnswer(), 200);
+  }
+  const cpu = process.cpuUsage(from);
+  const memory = Memory.getUsedBytes() - before;
+  const sweptAtMs = performance.now();
+  ledger.sweep();
+  const sweepMs = performance.now() - sweptAtMs;
+  report.line({
+    entries: ledger.getSize().entries,
+    countedBytes: ledger.getSize().bytes,
+    memoryMb: (memory / 1e6).toFixed(2),
+    bytesPerEntry: Math.round(memory / count),
+    cpuUsPerClaim: ((cpu.user + cpu.system) / count).toFixed(1),
+    sweepMs: sweepMs.toFixed(2),
+  });
+  return memory / 1e6;
+}
+
+/** Runs the bench. */
+export async function run(report: Report.Report): Promise<void> {
+  let memoryMb = 0;
+  for (const size of SIZES) memoryMb = await measure(report, size);
+  report.figure({
+    figure: "memory_of_full_ledger",
+    value: memoryMb,
+    unit: "MB",
+    bound: MAX_MB,
+    limit: "at-most",
+  });
+}
--- a/testing/bench/lookup.ts
+++ b/testing/bench/lookup.ts
@@ -1,6 +1,7 @@
-/** Look-ups a second of one instance, and the client block map at three sizes. */
+/** Look-ups a second of one instance, the cost of an answer by members, and the client block map at three sizes. */
 import * as BlockMap from "../../src/lookup/block_map.ts";
 import * as Load from "../harness/load.ts";
+import * as LookupAnswers from "./lookup_answers.ts";
 import type * as Report from "./report.ts";
 import * as Rig from "./rig.ts";
 import * as Usage from "./usage.ts";
@@ -106,6 +107,7 @@
 /** Runs the bench. */
 export async function run(report: Report.Report): Promise<void> {
   for (const size of BLOCKS) measureBlocks(report, size);
+  LookupAnswers.measureAnswers(report);
   const value = await measureRequests(report);
   report.figure({
     figure: "lookups_per_s",
--- a/testing/bench/main.ts
+++ b/testing/bench/main.ts
@@ -22,6 +22,7 @@
   probes: async () => (await import("./probes.ts")).run,
   store: async () => (await import("./store.ts")).run,
   keys: async () => (await import("./keys.ts")).run,
+  ledger: async () => (await import("./ledger.ts")).run,
 };
 
 async function main(): Promise<number> {
--- a/testing/bench/store.ts
+++ b/testing/bench/store.ts
@@ -85,6 +85,9 @@
     if (before === undefined) throw new Error("no first reading");
     return Usage.getRate(before, Usage.readUsage(pid));
   });
+  const records = (await fleet.platform.getEntries())
+    .filter((one) => one.key.startsWith("members/"));
+  const memberBytes = JSON.stringify(records).length / records.length;
   const domains = new Set(fleet.instances.map((one) => one.domain)).size;
   const count = pids.length;
   const sum = (get: (one: Usage.UsageRate) => number) =>
@@ -97,6 +100,7 @@
     readsPerSPerInstance: (calls.reads / count).toFixed(3),
     writesPerSPerInstance: (calls.writes / count).toFixed(3),
     byOp: calls.byOp,
+    memberRecordBytes: Math.round(memberBytes),
     cpuPercentPerInstance: (sum((one) => one.cpuPercent) / count).toFixed(2),
     sentBytesPerSPerInstance: Math.round(
       sum((one) => one.writtenBytesPerS) / count,
