--- a/src/budget/ownership.ts
+++ b/src/budget/ownership.ts
@@ -119,20 +119,17 @@
   }
 
   function isWithinQuota(): boolean {
-    return holdings.getShards().length < Plan.getQuota(store.getMembers().size);
+    const quota = Plan.getQuota(store.getMembers().size);
+    return holdings.getShards().length < quota;
   }
 
   /** Claims need a settled table: an older one elsewhere may still give the share to others. */
   function mayClaim(kind: Plan.ShardStep["kind"]): boolean {
     if (holdings.tryGetDivision() === undefined) return false;
-    const isFirstTable = !holdings.hasChangedTable();
-    if (kind === "claim-new") return isFirstTable || holdings.isSettled();
+    if (kind === "claim-new" && !holdings.hasChangedTable()) return true;
     return holdings.isSettled() &&
-      (kind === "claim-released" || hasReachedStoreLongEnough());
-  }
-
-  function hasReachedStoreLongEnough(): boolean {
-    return health.getReachableForMs() >= deps.leaseTtlMs;
+      (kind === "claim-new" || kind === "claim-released" ||
+        health.getReachableForMs() >= deps.leaseTtlMs);
   }
 
   async function claim(
@@ -151,9 +148,8 @@
     // A failure since lets a disconnected holder count on another full wait;
     // the record is then adopted by a later pass.
     if (health.getFailures() !== failures || !deps.isLeaseValid()) return;
-    start(shard, epoch, {
-      kind: step.kind === "claim-new" ? "full" : "empty",
-    });
+    const kind = step.kind === "claim-new" ? "full" : "empty";
+    start(shard, epoch, { kind });
   }
 
   async function isClaimedBy(
@@ -162,15 +158,12 @@
   ): Promise<boolean> {
     if (owner === deps.self) return false;
     const params: Messages.ConfirmRequest = { domain, shards: [shard] };
-    const result = await peers.call(
-      owner,
-      Messages.METHODS.confirm,
-      params,
-      CALL_TIMEOUT_MS,
-    );
-    const answer = result.isOk() &&
-      Messages.tryReadConfirmAnswer(result.value);
-    return answer ? answer.isValid && answer.held.includes(shard) : false;
+    const method = Messages.METHODS.confirm;
+    const result = await peers.call(owner, method, params, CALL_TIMEOUT_MS);
+    if (result.isErr()) return false;
+    const answer = Messages.tryReadConfirmAnswer(result.value);
+    return answer !== undefined && answer.isValid &&
+      answer.held.includes(shard);
   }
 
   function getReceivers(): readonly Types.InstanceId[] {
@@ -225,9 +218,10 @@
     // A late or doubled message must not refill a shard that moved on.
     const isNew = epoch > (startedEpoch.get(shard) ?? 0) &&
       epoch >= (store.tryGetKnown(shard)?.epoch ?? 0);
-    const mayStart = isForThis && isNew && !holdings.isActive(shard) &&
-      deps.isLeaseValid() && holdings.isSettled() && !isLeaving;
-    if (!mayStart) return false;
+    const isReady = deps.isLeaseValid() && holdings.isSettled() && !isLeaving;
+    if (!isForThis || !isNew || !isReady || holdings.isActive(shard)) {
+      return false;
+    }
     store.note(shard, req.version, epoch);
     start(shard, epoch, { kind: "levels", levels: req.levels });
     return true;
