Ask a newcomer whether it can use a shard before handing it over

Cause: a newcomer refuses shards until its table is settled (4.5 s), and then waits for a lease period to adopt them; meanwhile they were unused. Change: shards.confirm also answers whether the peer can receive; balancing asks first. Conclusion: at most one shard is between holders at a time.

--- a/src/budget/lease.ts
+++ b/src/budget/lease.ts
@@ -15,6 +15,7 @@
 import type * as Log from "../log.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
+import * as Confirm from "./confirm.ts";
 import * as Messages from "./messages.ts";
 import * as Relay from "./relay.ts";
 import * as StoreHealth from "./store_health.ts";
@@ -250,16 +251,10 @@
   async function hasTakenNone(id: Types.InstanceId): Promise<boolean> {
     const shards = deps.getShards();
     if (shards.length === 0) return true;
-    const params: Messages.ConfirmRequest = { domain: deps.domain, shards };
-    const result = await peers.call(
-      id,
-      Messages.METHODS.confirm,
-      params,
-      cfg.callTimeoutMs,
-    );
-    const answer = result.isOk() &&
-      Messages.tryReadConfirmAnswer(result.value);
-    if (!answer) return false;
+    const timeoutMs = cfg.callTimeoutMs;
+    const { domain } = deps;
+    const answer = await Confirm.askHeld(peers, id, domain, shards, timeoutMs);
+    if (answer === undefined) return false;
     if (answer.held.length > 0) deps.dropShards(answer.held);
     return true;
   }
--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -51,6 +51,8 @@
   readonly held: readonly number[];
   /** False when it may not spend them; it then resumes only after a confirmation. */
   readonly isValid: boolean;
+  /** True when it would start to spend a shard that is handed to it now. */
+  readonly canReceive: boolean;
 }
 
 /** `shards.handover`: the store names you as holder; here is the content. */
--- a/src/budget/ownership.ts
+++ b/src/budget/ownership.ts
@@ -12,6 +12,7 @@
 import type * as Contracts from "../contracts.ts";
 import type * as Log from "../log.ts";
 import type * as Types from "../types.ts";
+import * as Confirm from "./confirm.ts";
 import * as Division from "./division.ts";
 import type * as Holdings from "./holdings.ts";
 import * as Messages from "./messages.ts";
@@ -157,15 +158,15 @@
     shard: number,
   ): Promise<boolean> {
     if (owner === deps.self) return false;
-    const params: Messages.ConfirmRequest = { domain, shards: [shard] };
-    const method = Messages.METHODS.confirm;
-    const result = await peers.call(owner, method, params, CALL_TIMEOUT_MS);
-    if (result.isErr()) return false;
-    const answer = Messages.tryReadConfirmAnswer(result.value);
+    const answer = await ask(owner, shard);
     return answer !== undefined && answer.isValid &&
       answer.held.includes(shard);
   }
 
+  function ask(id: Types.InstanceId, shard: number) {
+    return Confirm.askHeld(peers, id, domain, [shard], CALL_TIMEOUT_MS);
+  }
+
   function getReceivers(): readonly Types.InstanceId[] {
     const revision = holdings.tryGetDivision()?.revision;
     return Plan.listReceivers(store.getMembers(), peers, revision);
@@ -180,7 +181,9 @@
     const shard = holdings.getShards()[0];
     if (receiver === undefined || shard === undefined) return;
     wasBusy = true;
-    await handOver(shard, receiver);
+    // A newcomer that is not ready would leave the shard unused for a while.
+    const answer = await ask(receiver, shard);
+    if (answer?.canReceive) await handOver(shard, receiver);
   }
 
   async function handOver(
@@ -210,6 +213,10 @@
     if (sent.isErr()) log.warn("handover-content-lost", { shard, to });
   }
 
+  function isReady(): boolean {
+    return deps.isLeaseValid() && holdings.isSettled() && !isLeaving;
+  }
+
   function receive(req: Messages.HandOverRequest): boolean {
     const { shard, epoch } = req;
     const revision = holdings.tryGetDivision()?.revision;
@@ -218,8 +225,7 @@
     // A late or doubled message must not refill a shard that moved on.
     const isNew = epoch > (startedEpoch.get(shard) ?? 0) &&
       epoch >= (store.tryGetKnown(shard)?.epoch ?? 0);
-    const isReady = deps.isLeaseValid() && holdings.isSettled() && !isLeaving;
-    if (!isForThis || !isNew || !isReady || holdings.isActive(shard)) {
+    if (!isForThis || !isNew || !isReady() || holdings.isActive(shard)) {
       return false;
     }
     store.note(shard, req.version, epoch);
@@ -279,7 +285,7 @@
       if (req === undefined) throw new Error("malformed shards.confirm");
       const isSame = req.domain === domain;
       const held = req.shards.filter((n) => isSame && holdings.isActive(n));
-      return { held, isValid: deps.isLeaseValid() };
+      return { held, isValid: deps.isLeaseValid(), canReceive: isReady() };
     },
   );
   peers.handle(Messages.METHODS.handOver, (params) => {
--- a/tests/shards_test.ts
+++ b/tests/shards_test.ts
@@ -265,6 +265,18 @@
     expect(fleet.budgets("b1").getShards()).toHaveLength(8);
   });
 
+  it("guards against unused shards while a newcomer gets its part", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "b1");
+    fleet.addNode("a2", "da", fleet.table);
+    for (let i = 0; i < 400; i++) {
+      await fleet.time.advance(50);
+      const held = ["a1", "a2"].flatMap((id) => fleet.budgets(id).getShards());
+      expect(held.length).toBeGreaterThanOrEqual(7);
+    }
+    expect(fleet.budgets("a2").getShards()).toHaveLength(4);
+  });
+
   it("guards against a holder that was paused past its lease and admits after it", async () => {
     const fleet = createQuietFleet();
     await fleet.start("a1", "a2", "b1");
