--- a/src/budget/ownership.ts
+++ b/src/budget/ownership.ts
@@ -113,24 +113,23 @@
     const waitedMs = clock.nowMs() - since;
     if (step.kind === "adopt") {
       if (waitedMs < HANDOVER_WAIT_MS) return;
-    } else if (!isWithinQuota() && waitedMs < UNCLAIMED_WAIT_MS) {
+    } else if (isOverQuota() && waitedMs < UNCLAIMED_WAIT_MS) {
       return;
     }
     await claim(shard, entry, step);
   }
 
-  function isWithinQuota(): boolean {
+  function isOverQuota(): boolean {
     const quota = Plan.getQuota(store.getMembers().size);
-    return holdings.getShards().length < quota;
+    return holdings.getShards().length >= quota;
   }
 
-  /** Claims need a settled table: an older one elsewhere may still give the share to others. */
   function mayClaim(kind: Plan.ShardStep["kind"]): boolean {
-    if (holdings.tryGetDivision() === undefined) return false;
-    if (kind === "claim-new" && !holdings.hasChangedTable()) return true;
-    return holdings.isSettled() &&
-      (kind === "claim-new" || kind === "claim-released" ||
-        health.getReachableForMs() >= deps.leaseTtlMs);
+    return holdings.tryGetDivision() !== undefined && Plan.mayClaim(kind, {
+      hasChangedTable: holdings.hasChangedTable(),
+      isSettled: holdings.isSettled(),
+      hasReachedStore: health.getReachableForMs() >= deps.leaseTtlMs,
+    });
   }
 
   async function claim(
@@ -139,8 +138,9 @@
     step: Plan.ShardStep,
   ): Promise<void> {
     if (!mayClaim(step.kind)) return;
-    if (step.kind === "take-over" && (await isClaimedBy(step.from, shard))) {
-      return;
+    if (step.kind === "take-over" && step.from !== deps.self) {
+      const answer = await ask(step.from, shard);
+      if (answer?.isValid && answer.held.includes(shard)) return;
     }
     const failures = health.getFailures();
     const epoch = (entry?.record.epoch ?? 0) + 1;
@@ -153,16 +153,6 @@
     start(shard, epoch, { kind });
   }
 
-  async function isClaimedBy(
-    owner: Types.InstanceId,
-    shard: number,
-  ): Promise<boolean> {
-    if (owner === deps.self) return false;
-    const answer = await ask(owner, shard);
-    return answer !== undefined && answer.isValid &&
-      answer.held.includes(shard);
-  }
-
   function ask(id: Types.InstanceId, shard: number) {
     return Confirm.askHeld(peers, id, domain, [shard], CALL_TIMEOUT_MS);
   }
@@ -261,9 +251,8 @@
     isLeaving = true;
     const entries = await store.listShards();
     await store.listMembers();
-    const counts = new Map(
-      Plan.countShards(entries?.values() ?? [], store.getMembers()),
-    );
+    const known = entries?.values() ?? [];
+    const counts = new Map(Plan.countShards(known, store.getMembers()));
     for (const shard of holdings.getShards()) {
       const receiver = Plan.chooseReceiver(counts, getReceivers());
       if (receiver !== undefined) {
@@ -278,16 +267,11 @@
     }
   }
 
-  peers.handle(
-    Messages.METHODS.confirm,
-    (params): Messages.ConfirmAnswer => {
-      const req = Messages.tryReadConfirm(params);
-      if (req === undefined) throw new Error("malformed shards.confirm");
-      const isSame = req.domain === domain;
-      const held = req.shards.filter((n) => isSame && holdings.isActive(n));
-      return { held, isValid: deps.isLeaseValid(), canReceive: isReady() };
-    },
-  );
+  Confirm.handleConfirm(peers, domain, {
+    isActive: holdings.isActive,
+    isValid: deps.isLeaseValid,
+    isReady,
+  });
   peers.handle(Messages.METHODS.handOver, (params) => {
     const req = Messages.tryReadHandOver(params);
     if (req === undefined) throw new Error("malformed shards.handover");
--- a/src/budget/shard_plan.ts
+++ b/src/budget/shard_plan.ts
@@ -51,6 +51,23 @@
   return { kind: "take-over", from: owner };
 }
 
+/** What a claim depends on beside the records. */
+export interface ClaimConditions {
+  readonly hasChangedTable: boolean;
+  readonly isSettled: boolean;
+  /** True when the store was reachable for one full lease period. */
+  readonly hasReachedStore: boolean;
+}
+
+/** Claims need a settled table: an older one elsewhere may still give the share to others. */
+export function mayClaim(
+  kind: ShardStep["kind"],
+  now: ClaimConditions,
+): boolean {
+  if (kind === "claim-new") return now.isSettled || !now.hasChangedTable;
+  return now.isSettled && (kind === "claim-released" || now.hasReachedStore);
+}
+
 /** Most shards that a member claims by itself, so that others get their part. */
 export function getQuota(memberCount: number): number {
   return Math.ceil(Division.SHARDS_PER_DOMAIN / Math.max(1, memberCount));
