--- a/tests/budget_test.ts
+++ b/tests/budget_test.ts
@@ -192,14 +192,16 @@
   for (let ms = 0; ms < seconds * 1000; ms += stepMs) {
     for (const id of fleet.nodes.keys()) {
       for (const account of fleet.table.accounts) {
-        const chance = (getRate(account, id) * stepMs) / 1000;
-        if (fleet.random() >= chance) continue;
-        counts.asked++;
-        void fleet.get(id).budgets.take(`acct/s/${account}`, 1, 1_000)
-          .then((result) => {
-            if (result.isOk()) counts.admitted++;
-            else counts.refused++;
-          });
+        const mean = (getRate(account, id) * stepMs) / 1000;
+        for (let left = mean; left > 0; left--) {
+          if (fleet.random() >= left) break;
+          counts.asked++;
+          void fleet.get(id).budgets.take(`acct/s/${account}`, 1, 1_000)
+            .then((result) => {
+              if (result.isOk()) counts.admitted++;
+              else counts.refused++;
+            });
+        }
       }
     }
     await fleet.time.advance(stepMs);
