--- a/tests/budget_fakes.ts
+++ b/tests/budget_fakes.ts
@@ -422,12 +422,8 @@
     /** Cuts one way; "store" and "*" are names too. */
     cut: (from: string, to: string) => void cuts.add(`${from}>${to}`),
     heal: () => cuts.clear(),
-    kill(id: string): void {
-      nodes.get(id)!.isDead = true;
-    },
-    pause(id: string): void {
-      nodes.get(id)!.resume ??= createGate();
-    },
+    kill: (id: string) => void (nodes.get(id)!.isDead = true),
+    pause: (id: string) => void (nodes.get(id)!.resume ??= createGate()),
     /** Calls of that name ("cas", "renew") wait at the store until `release`; gives their count so far. */
     hold: (id: string, name: string) => {
       held.set(`${id} ${name}`, createGate());
@@ -450,9 +446,7 @@
       return node !== undefined && !node.isDead && node.resume === undefined;
     },
     setTable(id: string, table: Types.Table): void {
-      const node = nodes.get(id)!;
-      node.table = table;
-      node.budgets.setTable(table);
+      Object.assign(nodes.get(id)!, { table }).budgets.setTable(table);
     },
   };
 }
--- a/tests/shards_test.ts
+++ b/tests/shards_test.ts
@@ -19,39 +19,21 @@
   { x: { rate: 30, burst: 3 }, y: { rate: 0, burst: 0 } },
 ];
 
-type Step =
-  | { readonly kind: "kill" | "restart" | "leave"; readonly node: string }
-  | { readonly kind: "pause"; readonly node: string; readonly ms: number }
-  | { readonly kind: "cut"; readonly from: string; readonly to: string }
-  | { readonly kind: "heal" }
-  | { readonly kind: "store"; readonly isUp: boolean }
-  | { readonly kind: "table"; readonly index: number };
-
+const ENDS = ["kill", "restart", "leave"] as const;
+const getMs = (min: number, max: number) => FastCheck.integer({ min, max });
 const node = FastCheck.constantFrom(...NODES);
 const place = FastCheck.constantFrom(...NODES, "store", "*");
-const step: FastCheck.Arbitrary<Step> = FastCheck.oneof(
-  FastCheck.tuple(
-    FastCheck.constantFrom(
-      "kill" as const,
-      "restart" as const,
-      "leave" as const,
-    ),
-    node,
-  )
+const step = FastCheck.oneof(
+  FastCheck.tuple(FastCheck.constantFrom(...ENDS), node)
     .map(([kind, node]) => ({ kind, node })),
-  FastCheck.tuple(node, FastCheck.integer({ min: 300, max: 9_000 }))
+  FastCheck.tuple(node, getMs(300, 9_000))
     .map(([node, ms]) => ({ kind: "pause" as const, node, ms })),
-  FastCheck.tuple(place, place).map(([from, to]) => ({
-    kind: "cut" as const,
-    from,
-    to,
-  })),
+  FastCheck.tuple(place, place)
+    .map(([from, to]) => ({ kind: "cut" as const, from, to })),
   FastCheck.constant({ kind: "heal" as const }),
   FastCheck.boolean().map((isUp) => ({ kind: "store" as const, isUp })),
-  FastCheck.nat(TABLES.length - 1).map((index) => ({
-    kind: "table" as const,
-    index,
-  })),
+  FastCheck.nat(TABLES.length - 1)
+    .map((index) => ({ kind: "table" as const, index })),
 );
 
 const script = FastCheck.record({
@@ -62,20 +44,15 @@
     twice: FastCheck.constantFrom(0, 0.2),
   }),
   steps: FastCheck.array(
-    FastCheck.record({
-      step,
-      thenMs: FastCheck.integer({ min: 50, max: 7_000 }),
-    }),
+    FastCheck.record({ step, thenMs: getMs(50, 7_000) }),
     { minLength: 3, maxLength: 14 },
   ),
 });
 
+type Sample<A> = A extends FastCheck.Arbitrary<infer T> ? T : never;
+
 /** Drives a fleet through a script under overload and records what it admits. */
-async function runScript(input: {
-  readonly seed: number;
-  readonly noise: Fakes.Noise;
-  readonly steps: readonly { readonly step: Step; readonly thenMs: number }[];
-}) {
+async function runScript(input: Sample<typeof script>) {
   const fleet = Fakes.createFleet({
     seed: input.seed,
     noise: { loss: 0, late: 0, twice: 0 },
@@ -122,7 +99,7 @@
       await time.advance(Math.min(90 + random() * 40, end - time.nowMs()));
     }
   };
-  const apply = (next: Step) => {
+  const apply = (next: Sample<typeof step>) => {
     switch (next.kind) {
       case "kill":
         return fleet.kill(next.node);
