--- a/src/budget/ownership.ts
+++ b/src/budget/ownership.ts
@@ -12,6 +12,7 @@
 import type * as Contracts from "../contracts.ts";
 import type * as Log from "../log.ts";
 import type * as Types from "../types.ts";
+import * as Confirm from "./confirm.ts";
 import * as Division from "./division.ts";
 import type * as Holdings from "./holdings.ts";
 import * as Messages from "./messages.ts";
@@ -112,27 +113,23 @@
     const waitedMs = clock.nowMs() - since;
     if (step.kind === "adopt") {
       if (waitedMs < HANDOVER_WAIT_MS) return;
-    } else if (!isWithinQuota() && waitedMs < UNCLAIMED_WAIT_MS) {
+    } else if (isOverQuota() && waitedMs < UNCLAIMED_WAIT_MS) {
       return;
     }
     await claim(shard, entry, step);
   }
 
-  function isWithinQuota(): boolean {
-    return holdings.getShards().length < Plan.getQuota(store.getMembers().size);
+  function isOverQuota(): boolean {
+    const quota = Plan.getQuota(store.getMembers().size);
+    return holdings.getShards().length >= quota;
   }
 
-  /** Claims need a settled table: an older one elsewhere may still give the share to others. */
   function mayClaim(kind: Plan.ShardStep["kind"]): boolean {
-    if (holdings.tryGetDivision() === undefined) return false;
-    const isFirstTable = !holdings.hasChangedTable();
-    if (kind === "claim-new") return isFirstTable || holdings.isSettled();
-    return holdings.isSettled() &&
-      (kind === "claim-released" || hasReachedStoreLongEnough());
-  }
-
-  function hasReachedStoreLongEnough(): boolean {
-    return health.getReachableForMs() >= deps.leaseTtlMs;
+    return holdings.tryGetDivision() !== undefined && Plan.mayClaim(kind, {
+      hasChangedTable: holdings.hasChangedTable(),
+      isSettled: holdings.isSettled(),
+      hasReachedStore: health.getReachableForMs() >= deps.leaseTtlMs,
+    });
   }
 
   async function claim(
@@ -141,8 +138,9 @@
     step: Plan.ShardStep,
   ): Promise<void> {
     if (!mayClaim(step.kind)) return;
-    if (step.kind === "take-over" && (await isClaimedBy(step.from, shard))) {
-      return;
+    if (step.kind === "take-over" && step.from !== deps.self) {
+      const answer = await ask(step.from, shard);
+      if (answer?.isValid && answer.held.includes(shard)) return;
     }
     const failures = health.getFailures();
     const epoch = (entry?.record.epoch ?? 0) + 1;
@@ -151,26 +149,12 @@
     // A failure since lets a disconnected holder count on another full wait;
     // the record is then adopted by a later pass.
     if (health.getFailures() !== failures || !deps.isLeaseValid()) return;
-    start(shard, epoch, {
-      kind: step.kind === "claim-new" ? "full" : "empty",
-    });
+    const kind = step.kind === "claim-new" ? "full" : "empty";
+    start(shard, epoch, { kind });
   }
 
-  async function isClaimedBy(
-    owner: Types.InstanceId,
-    shard: number,
-  ): Promise<boolean> {
-    if (owner === deps.self) return false;
-    const params: Messages.ConfirmRequest = { domain, shards: [shard] };
-    const result = await peers.call(
-      owner,
-      Messages.METHODS.confirm,
-      params,
-      CALL_TIMEOUT_MS,
-    );
-    const answer = result.isOk() &&
-      Messages.tryReadConfirmAnswer(result.value);
-    return answer ? answer.isValid && answer.held.includes(shard) : false;
+  function ask(id: Types.InstanceId, shard: number) {
+    return Confirm.askHeld(peers, id, domain, [shard], CALL_TIMEOUT_MS);
   }
 
   function getReceivers(): readonly Types.InstanceId[] {
@@ -187,7 +171,9 @@
     const shard = holdings.getShards()[0];
     if (receiver === undefined || shard === undefined) return;
     wasBusy = true;
-    await handOver(shard, receiver);
+    // A newcomer that is not ready would leave the shard unused for a while.
+    const answer = await ask(receiver, shard);
+    if (answer?.canReceive) await handOver(shard, receiver);
   }
 
   async function handOver(
@@ -217,6 +203,10 @@
     if (sent.isErr()) log.warn("handover-content-lost", { shard, to });
   }
 
+  function isReady(): boolean {
+    return deps.isLeaseValid() && holdings.isSettled() && !isLeaving;
+  }
+
   function receive(req: Messages.HandOverRequest): boolean {
     const { shard, epoch } = req;
     const revision = holdings.tryGetDivision()?.revision;
@@ -225,9 +215,9 @@
     // A late or doubled message must not refill a shard that moved on.
     const isNew = epoch > (startedEpoch.get(shard) ?? 0) &&
       epoch >= (store.tryGetKnown(shard)?.epoch ?? 0);
-    const mayStart = isForThis && isNew && !holdings.isActive(shard) &&
-      deps.isLeaseValid() && holdings.isSettled() && !isLeaving;
-    if (!mayStart) return false;
+    if (!isForThis || !isNew || !isReady() || holdings.isActive(shard)) {
+      return false;
+    }
     store.note(shard, req.version, epoch);
     start(shard, epoch, { kind: "levels", levels: req.levels });
     return true;
@@ -261,9 +251,8 @@
     isLeaving = true;
     const entries = await store.listShards();
     await store.listMembers();
-    const counts = new Map(
-      Plan.countShards(entries?.values() ?? [], store.getMembers()),
-    );
+    const known = entries?.values() ?? [];
+    const counts = new Map(Plan.countShards(known, store.getMembers()));
     for (const shard of holdings.getShards()) {
       const receiver = Plan.chooseReceiver(counts, getReceivers());
       if (receiver !== undefined) {
@@ -278,16 +267,11 @@
     }
   }
 
-  peers.handle(
-    Messages.METHODS.confirm,
-    (params): Messages.ConfirmAnswer => {
-      const req = Messages.tryReadConfirm(params);
-      if (req === undefined) throw new Error("malformed shards.confirm");
-      const isSame = req.domain === domain;
-      const held = req.shards.filter((n) => isSame && holdings.isActive(n));
-      return { held, isValid: deps.isLeaseValid() };
-    },
-  );
+  Confirm.handleConfirm(peers, domain, {
+    isActive: holdings.isActive,
+    isValid: deps.isLeaseValid,
+    isReady,
+  });
   peers.handle(Messages.METHODS.handOver, (params) => {
     const req = Messages.tryReadHandOver(params);
     if (req === undefined) throw new Error("malformed shards.handover");
