Pay for the mean answer before a request crosses regions

An answer's bytes were paid for when they had arrived, so that every slot of the other region could send one answer over a link that was used up.

Seen in the shift proof: a link of 1 Mbit/s, 125000 bytes a second, all callers of the north served in the south, answers of 4000 bytes, 60 and then 120 requests a second: 172000 bytes in one second. Ruled out: the division of the link (only the two northern domains have shares, in sum 0.9 s of rate and 0.1 s of burst).

The mean size of the answers over a link is paid with the request, which is refused as not run when the link has no room; the difference is paid while the answer arrives, and what did not cross is returned.

--- a/src/admission/context.ts
+++ b/src/admission/context.ts
@@ -5,6 +5,7 @@
 import type * as Contracts from "../contracts.ts";
 import type * as Body from "../forward/body.ts";
 import type * as Exchange from "../forward/exchange.ts";
+import type * as Link from "../forward/link.ts";
 import type * as Headers from "../forward/headers.ts";
 import type * as Path from "../forward/path.ts";
 import type * as Log from "../log.ts";
@@ -27,6 +28,7 @@
   readonly ledger: Ledger.Ledger;
   readonly poison: Contracts.Poison;
   readonly retries: Contracts.RetryBudget;
+  readonly answerSizes: Link.AnswerSizes;
   readonly peers: Contracts.PeerNet;
   readonly exchanger: Exchange.Exchanger;
   readonly relay: Relay.RelaySigner;
--- a/src/admission/place.ts
+++ b/src/admission/place.ts
@@ -100,6 +100,7 @@
 ): Link.LinkMeter | undefined {
   return Link.tryCreateLinkMeter(
     deps.budgets,
+    deps.answerSizes,
     ctx.route.service,
     deps.region,
     region,
@@ -178,6 +179,7 @@
   if (await Renewal.renew(deps, ctx, key, capTakenAtMs)) {
     return Ok({ ...placement, capTakenAtMs: deps.clock.nowMs() });
   }
+  placement.link?.settle();
   placement.slot.release({ kind: "cancelled" });
   const waitMs = deps.budgets.getWaitMs(key, 1);
   return Err(Respond.refuse("regionCap", "not-run", waitMs));
@@ -206,6 +208,7 @@
   ctx: Context.Context,
   placement: Placement,
 ): void {
+  placement.link?.settle();
   placement.slot.release({ kind: "cancelled" });
   deps.budgets.giveBack(getCapKey(ctx.route.service, placement.region), 1);
 }
--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -132,6 +132,7 @@
     signal,
     link && ((bytes) => link.payAnswer(bytes)),
   );
+  link?.settle();
   const latencyMs = deps.clock.nowMs() - sentAtMs;
   const ended = finishExchange(deps, ctx, placement, result, latencyMs, signal);
   if (ended.kind === "not-run") {
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -13,6 +13,7 @@
 import * as Freshness from "../config/freshness.ts";
 import type * as Contracts from "../contracts.ts";
 import * as Drain from "../drain/drain.ts";
+import * as Link from "../forward/link.ts";
 import * as Exchange from "../forward/exchange.ts";
 import * as Keys from "../keys/keys.ts";
 import type * as Log from "../log.ts";
@@ -169,6 +170,7 @@
     ledger,
     poison: Poison.createPoison({ clock, peers, log }),
     retries: RetryBudget.createRetryBudget({ clock }),
+    answerSizes: Link.createAnswerSizes(),
     peers,
     exchanger: Exchange.createExchanger({
       bufferBytes: cfg.limits.bufferBytes,
--- a/src/forward/link.ts
+++ b/src/forward/link.ts
@@ -1,7 +1,12 @@
 /**
  * Link budgets of forwarded requests. Promise: bytes that cross regions are
- * paid for before they are passed on, in both directions. An answer that has
- * begun is slowed, never refused; it ends with the request's deadline.
+ * paid for before they cross, in both directions. An answer's size is known
+ * only when it has crossed, so its mean is paid before the request is sent, and
+ * the difference while it arrives. An answer that has begun is slowed, never
+ * refused; it ends with the request's deadline.
+ *
+ * What breaks it: answers that grow together far above the mean; each may
+ * cross as far as the buffers of its connection reach.
  */
 import type * as Contracts from "../contracts.ts";
 
@@ -9,18 +14,45 @@
 const PIECE_BYTES = 16 * 1024;
 /** Request line and headers, for the account of a request. */
 const HEADER_BYTES = 1_024;
+/** Weight of the newest answer in the mean. */
+const MEAN_WEIGHT = 0.1;
+/** Mean before the first answer; a small JSON body. */
+const FIRST_MEAN_BYTES = 2_048;
+
+/** Mean sizes of the answers that came over each link. */
+export interface AnswerSizes {
+  note(key: Contracts.BudgetKey, bytes: number): void;
+  getMean(key: Contracts.BudgetKey): number;
+}
+
+/** Creates sizes without history. */
+export function createAnswerSizes(): AnswerSizes {
+  const means = new Map<Contracts.BudgetKey, number>();
+  const getMean = (key: Contracts.BudgetKey) =>
+    means.get(key) ?? FIRST_MEAN_BYTES;
+  return {
+    getMean,
+    note(key, bytes) {
+      const mean = getMean(key);
+      means.set(key, mean + (bytes - mean) * MEAN_WEIGHT);
+    },
+  };
+}
 
 /** Pays for the bytes of one exchange. */
 export interface LinkMeter {
-  /** Pays for a request; false when the link is used up. */
+  /** Pays for a request and the mean answer; false when the link is used up. */
   payRequest(bodyBytes: number, waitMs: number): Promise<boolean>;
   /** Pays for a piece of an answer, waiting for budget; rejects after the wait. */
   payAnswer(bytes: number): Promise<void>;
+  /** Ends the exchange: returns what was paid for bytes that did not cross. */
+  settle(): void;
 }
 
 /** Creates the meter for requests from `from` to targets in `to`; undefined within a region. */
 export function tryCreateLinkMeter(
   budgets: Contracts.Budgets,
+  sizes: AnswerSizes,
   service: string,
   from: string,
   to: string,
@@ -29,28 +61,50 @@
   if (from === to) return undefined;
   const inKey = `link/${service}/${to}/in`;
   const outKey = `link/${service}/${to}/out`;
+  let prepaid = 0;
+  let answered = 0;
 
   async function pay(
     key: string,
     bytes: number,
     getWaitMs: () => number,
+    onPaid: (piece: number) => void = () => {},
   ): Promise<boolean> {
     for (let left = bytes; left > 0; left -= PIECE_BYTES) {
       const piece = Math.min(left, PIECE_BYTES);
-      if (budgets.tryTake(key, piece)) continue;
-      const taken = await budgets.take(key, piece, getWaitMs());
-      if (taken.isErr()) return false;
+      const isTaken = budgets.tryTake(key, piece) ||
+        (await budgets.take(key, piece, getWaitMs())).isOk();
+      if (!isTaken) return false;
+      onPaid(piece);
     }
     return true;
   }
 
+  function prepay(waitMs: number): Promise<boolean> {
+    const bytes = sizes.getMean(outKey);
+    return pay(outKey, bytes, () => waitMs, (piece) => prepaid += piece);
+  }
+
   return {
-    payRequest: (bodyBytes, waitMs) =>
-      pay(inKey, HEADER_BYTES + bodyBytes, () => waitMs),
+    async payRequest(bodyBytes, waitMs) {
+      const isPaid = await prepay(waitMs) &&
+        await pay(inKey, HEADER_BYTES + bodyBytes, () => waitMs);
+      if (!isPaid) this.settle();
+      return isPaid;
+    },
     async payAnswer(bytes) {
-      if (!await pay(outKey, bytes, getRemainingMs)) {
+      answered += bytes;
+      const covered = Math.min(prepaid, bytes);
+      prepaid -= covered;
+      if (!await pay(outKey, bytes - covered, getRemainingMs)) {
         throw new Error("link budget used up until the deadline");
       }
     },
+    settle() {
+      if (prepaid > 0) budgets.giveBack(outKey, prepaid);
+      prepaid = 0;
+      if (answered > 0) sizes.note(outKey, answered);
+      answered = 0;
+    },
   };
 }
--- a/testing/fleet/small.ts
+++ b/testing/fleet/small.ts
@@ -28,6 +28,9 @@
   /** Per region. */
   readonly clubRate?: number;
   readonly clubBurst?: number;
+  /** Of the south, when it differs from the north. */
+  readonly southClubRate?: number;
+  readonly southClubBurst?: number;
   readonly hutRate?: number;
   readonly hutBurst?: number;
 }
@@ -52,8 +55,10 @@
       "POST /bookings",
       "/fleet",
       values.deadlineMs ?? 5_000,
-      values.clubRate ?? 100,
-      values.clubBurst ?? 100,
+      (region === "south" ? values.southClubRate : undefined) ??
+        values.clubRate ?? 100,
+      (region === "south" ? values.southClubBurst : undefined) ??
+        values.clubBurst ?? 100,
       values.hutRate ?? 20,
       values.hutBurst ?? 20,
     ].join(",")
--- a/tests/support/fakes.ts
+++ b/tests/support/fakes.ts
@@ -7,6 +7,7 @@
 import * as Clock from "../../src/clock.ts";
 import type * as Contracts from "../../src/contracts.ts";
 import * as Servers from "../../src/daemon/servers.ts";
+import * as Link from "../../src/forward/link.ts";
 import * as Exchange from "../../src/forward/exchange.ts";
 import * as Log from "../../src/log.ts";
 import * as Handover from "../../src/once/handover.ts";
@@ -278,6 +279,7 @@
       reportBreak: (_fingerprint, target) => void broken.push(target),
     },
     retries: { countRequest: () => {}, tryRetry: () => true },
+    answerSizes: Link.createAnswerSizes(),
     peers,
     exchanger,
     relay: Relay.createRelaySigner(SECRET, clock),
