--- a/testing/fleet/small.ts
+++ b/testing/fleet/small.ts
@@ -31,15 +31,22 @@
   /** Of the south, when it differs from the north. */
   readonly southClubRate?: number;
   readonly southClubBurst?: number;
+  /** More accounts, the same in both regions. */
+  readonly more?: Readonly<
+    Record<string, { readonly rate: number; readonly burst: number }>
+  >;
   readonly hutRate?: number;
   readonly hutBurst?: number;
 }
 
 /** The small fleet's table as CSV. */
 export function formatSmallTable(values: SmallTable = {}): string {
+  const more = Object.entries(values.more ?? {});
+  const names = more.map(([name]) => `,rate:${name},burst:${name}`).join("");
   const head =
     "service,region,domains,weight,cap_rps,shift_pct_per_s,link_mbps," +
-    "once,open,deadline_ms,rate:club,burst:club,rate:hut,burst:hut";
+    "once,open,deadline_ms,rate:club,burst:club,rate:hut,burst:hut" +
+    names;
   const rows = [
     ["north", values.northWeight ?? 100],
     ["south", values.southWeight ?? 100],
@@ -61,6 +68,7 @@
         values.clubBurst ?? 100,
       values.hutRate ?? 20,
       values.hutBurst ?? 20,
+      ...more.flatMap(([, { rate, burst }]) => [rate, burst]),
     ].join(",")
   );
   return `${[head, ...rows].join("\n")}\n`;
