--- a/tests/proofs/limits_test.ts
+++ b/tests/proofs/limits_test.ts
@@ -153,6 +153,12 @@
   it("serves a small account at half its rate without a refusal, and a greedy one no more than its limit", async () => {
     const received = await startLoad("steady", 10_000).done;
     await expectWithinLimits(beganAtMs);
+    const refused = received.filter((one) =>
+      one.account === "hut" && one.status !== 200
+    );
+    for (const one of refused) {
+      console.log(`hut's seed refusal at ${one.atMs - beganAtMs} ms`, one);
+    }
     const hut = Traffic.countCodes(received, "hut");
     expect(hut).toEqual({ "200/0": 5 });
     const club = Traffic.countCodes(received, "club");
--- a/tests/proofs/shift_test.ts
+++ b/tests/proofs/shift_test.ts
@@ -139,12 +139,12 @@
     await waitForLoad(traffic, RATE_PER_S);
     await network.cut("south-1", "north-1", true);
     await fleet.writeTable(
-      Small.formatSmallTable({ ...TABLE, northWeight: 60 }),
+      Small.formatSmallTable({ ...TABLE, northWeight: 30 }),
     );
-    await waitForLoad(traffic, RATE_PER_S);
+    await waitForLoad(traffic, 3 * RATE_PER_S);
     frozen?.process.freeze();
     await fleet.writeTable(
-      Small.formatSmallTable({ ...TABLE, northWeight: 90 }),
+      Small.formatSmallTable({ ...TABLE, northWeight: 100 }),
     );
     await waitForLoad(traffic, 2 * RATE_PER_S);
     frozen?.process.resume();
