--- a/src/admission/place.ts
+++ b/src/admission/place.ts
@@ -160,6 +160,7 @@
 ): Link.LinkMeter | undefined {
   return Link.tryCreateLinkMeter(
     deps.budgets,
+    deps.answerSizes,
     ctx.route.service,
     deps.region,
     region,
@@ -236,6 +237,7 @@
   ctx: Context.Context,
   placement: Placement,
 ): void {
+  placement.link?.settle();
   placement.slot.release({ kind: "cancelled" });
   const key = getCapKey(ctx.route.service, placement.region);
   deps.budgets.giveBack(key, 1, placement.capTakenAtMs);
--- /dev/null
+++ b/tests/proofs/limits_test.ts
@@ -0,0 +1,242 @@
+import {
+  afterAll,
+  afterEach,
+  beforeAll,
+  beforeEach,
+  describe,
+  expect,
+  it,
+} from "vitest";
+import * as ResultCodes from "../../src/result_codes.ts";
+import * as Fleet from "../../testing/fleet/fleet.ts";
+import * as Network from "../../testing/fleet/network.ts";
+import * as Small from "../../testing/fleet/small.ts";
+import * as Flows from "../../testing/fleet/flows.ts";
+import * as Windows from "../../testing/fleet/windows.ts";
+import * as Wait from "../../testing/harness/wait.ts";
+
+const LEASE_TTL_MS = 3_000;
+/** Per region; the fleet has two. */
+const CLUB = { clubRate: 50, clubBurst: 10 };
+/** The shape of the smallest accounts of today's tables: one token per domain. */
+const HUT = { hutRate: 0.5, hutBurst: 2 };
+const CLUB_LIMIT = { rate: 100, burst: 20 };
+const HUT_LIMIT = { rate: 1, burst: 4 };
+/**
+ * One for each time of faults, so that its buckets are full at the start. With
+ * a burst of 40 s of its rate, tokens that exist twice are not hidden by refill.
+ */
+const FRESH = ["steady", "frozen", "killed", "cut", "paused", "moved"] as const;
+const FRESH_CELL = { rate: 0.5, burst: 20 };
+const FRESH_LIMIT = { rate: 1, burst: 40 };
+const TABLE = {
+  ...CLUB,
+  ...HUT,
+  more: Object.fromEntries(FRESH.map((name) => [name, FRESH_CELL])),
+};
+/** Time between admission and start that may differ between two requests. */
+const JITTER_MS = 100;
+const ACCOUNT_LIMIT = ResultCodes.codes.accountLimit.number;
+
+/** Two instances where holders end or freeze, so that another one takes over. */
+const layout = {
+  ...Small.smallLayout,
+  accounts: [...Small.smallLayout.accounts, ...FRESH],
+  domains: Small.smallLayout.domains.map((one) => ({
+    ...one,
+    instances: one.domain.endsWith("-1") ? 2 : 1,
+  })),
+};
+
+describe("a client account's rate and burst over all instances", () => {
+  const network = Network.createNetwork(
+    layout.domains.map((one) => one.domain),
+  );
+  let fleet: Fleet.Fleet;
+  let observer: Windows.Observer;
+  let beganAtMs = 0;
+
+  beforeAll(async () => {
+    fleet = await Fleet.startFleet({
+      layout,
+      tableCsv: Small.formatSmallTable(TABLE),
+      network,
+      settings: {
+        leaseTtlMs: LEASE_TTL_MS,
+        leaseRenewMs: 600,
+        platformTimeoutMs: 500,
+      },
+    });
+    observer = Windows.createObserver(fleet);
+    await waitForHolders(() => true);
+  });
+  afterAll(() => fleet.stop());
+  beforeEach(() => {
+    beganAtMs = Date.now();
+  });
+  afterEach(async () => {
+    await fleet.platform.setFaults({
+      availability: "up",
+      slowMs: 0,
+      loseWrites: 0,
+    });
+    await network.heal();
+  });
+
+  function getInstance(id: string): Fleet.FleetInstance {
+    const found = fleet.instances.findLast((one) => one.id === id);
+    if (found === undefined) throw new Error(`no instance ${id}`);
+    return found;
+  }
+
+  /** Waits until the store names a suitable holder for every shard. */
+  async function waitForHolders(
+    isSuitable: (holder: string, domain: string) => boolean,
+  ): Promise<void> {
+    await Wait.waitFor(
+      async () => {
+        const entries = await fleet.platform.getEntries();
+        const shards = entries.filter(({ key }) => key.startsWith("shards/"));
+        const isGood = shards.every(({ key, value }) => {
+          const { owner } = JSON.parse(value) as { owner: string };
+          return owner !== "" && isSuitable(owner, key.split("/")[1] ?? "");
+        });
+        return shards.length === 32 && isGood;
+      },
+      20_000,
+      "every shard has a suitable holder",
+    );
+  }
+
+  /** Club at four times its rate on every instance, hut at half its rate. */
+  function startLoad(
+    fresh: (typeof FRESH)[number],
+    durationMs: number,
+  ): Flows.Traffic {
+    return Flows.startTraffic(fleet, "booking", [
+      { account: "club", ratePerS: 4 * CLUB_LIMIT.rate },
+      { account: "hut", ratePerS: HUT_LIMIT.rate / 2, isEven: true },
+      { account: fresh, ratePerS: FRESH_LIMIT.burst },
+    ], durationMs);
+  }
+
+  async function waitForLoad(traffic: Flows.Traffic, count: number) {
+    const before = traffic.received.length;
+    await Wait.waitFor(
+      () => traffic.received.length >= before + count,
+      12_000,
+      `${count} answers`,
+    );
+  }
+
+  /** The verdict, over every window of the targets' records since `sinceMs`. */
+  async function expectWithinLimits(sinceMs = 0): Promise<void> {
+    await observer.collect();
+    const starts = observer.getStarts().filter((one) => one.atMs >= sinceMs);
+    for (
+      const [account, { rate, burst }] of [
+        ["club", CLUB_LIMIT],
+        ["hut", HUT_LIMIT],
+        ...FRESH.map((name) => [name, FRESH_LIMIT] as const),
+      ] as const
+    ) {
+      const times = Windows.getAdmissions(starts, account);
+      const needed = Windows.getNeededBurst(times, rate);
+      if (times.length === 0) continue;
+      console.log(`${account}: ${times.length} starts, burst ${needed}`);
+      expect(needed, account).toBeLessThanOrEqual(
+        burst + rate * JITTER_MS / 1_000,
+      );
+    }
+  }
+
+  it("serves a small account at half its rate without a refusal, and a greedy one no more than its limit", async () => {
+    const received = await startLoad("steady", 10_000).done;
+    await expectWithinLimits(beganAtMs);
+    const refused = received.filter((one) =>
+      one.account === "hut" && one.status !== 200
+    );
+    for (const one of refused) {
+      console.log(`hut's seed refusal at ${one.atMs - beganAtMs} ms`, one);
+    }
+    const hut = Flows.countCodes(received, "hut");
+    expect(hut).toEqual({ "200/0": 5 });
+    const club = Flows.countCodes(received, "club");
+    // A limit that admits far too little would hide every excess.
+    expect(club["200/0"]).toBeGreaterThan(CLUB_LIMIT.rate * 10 * 0.85);
+    expect(club[`429/${ACCOUNT_LIMIT}`]).toBeGreaterThan(0);
+  });
+
+  it("holds when a holder is frozen past its lease with the store slow, and goes on after its shards are taken over", async () => {
+    await fleet.platform.setFaults({ slowMs: 50 });
+    const frozen = getInstance("north-1-a");
+    const traffic = startLoad("frozen", 9_000);
+    await waitForLoad(traffic, 700);
+    frozen.process.freeze();
+    await waitForHolders((holder) => holder !== frozen.id);
+    frozen.process.resume();
+    await traffic.done;
+    await expectWithinLimits(beganAtMs);
+  });
+
+  it("holds when a holder is killed while the store loses answers after writes, and another joins under load", async () => {
+    const killed = getInstance("south-1-a");
+    const traffic = startLoad("killed", 9_000);
+    await waitForLoad(traffic, 700);
+    await killed.process.kill();
+    await fleet.platform.setFaults({
+      loseWrites: 20,
+      loseBy: "silence",
+      loseOps: ["cas", "renew", "grant"],
+    });
+    await waitForHolders((holder) => holder !== killed.id);
+    await fleet.startInstance("south-1-c", "south-1", "south");
+    await waitForHolders((holder) => holder !== killed.id);
+    await traffic.done;
+    await expectWithinLimits(beganAtMs);
+  });
+
+  it("holds while the store is down and a domain is cut off, and after both end", async () => {
+    const traffic = startLoad("cut", 9_000);
+    await fleet.platform.setFaults({ availability: "hang" });
+    await network.isolate("north-2", [Network.CALLERS]);
+    await waitForLoad(traffic, 1_400);
+    await fleet.platform.setFaults({ availability: "up" });
+    await network.heal();
+    await traffic.done;
+    await expectWithinLimits(beganAtMs);
+  });
+
+  it("holds when a holder is frozen past its lease while the store is down, and its peer goes on", async () => {
+    const frozen = getInstance("north-1-a");
+    const traffic = startLoad("paused", 9_000);
+    await fleet.platform.setFaults({ availability: "refuse" });
+    frozen.process.freeze();
+    await waitForLoad(traffic, 1_800);
+    await fleet.platform.setFaults({ availability: "up" });
+    frozen.process.resume();
+    await traffic.done;
+    await expectWithinLimits(beganAtMs);
+  });
+
+  it("holds when rates move between regions while a domain hears nothing and another only one way", async () => {
+    const traffic = startLoad("moved", 11_000);
+    await network.isolate("north-2", [Network.CALLERS]);
+    await network.cut("south-2", "north-1", true);
+    await fleet.writeTable(Small.formatSmallTable({
+      ...TABLE,
+      clubRate: 10,
+      clubBurst: 2,
+      southClubRate: 90,
+      southClubBurst: 18,
+    }));
+    await waitForLoad(traffic, 2_200);
+    await network.heal();
+    await traffic.done;
+    await expectWithinLimits(beganAtMs);
+  });
+
+  it("holds over the windows of all these times together", async () => {
+    await expectWithinLimits();
+  });
+});
