Probe targets from outbound.address

Probes had the system's source address, so in a cut-off domain they went on while requests timed out, and unreachable targets were taken back each second. Seen in tests/proofs/keys_test.ts: a cut-off domain did not serve open routes within 6 s. Ruled out: steering and freshness. Before: not within 6 s. After: served, whole test 7.5 s.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -132,6 +132,7 @@
     domain,
     region,
     getLiveInstances: () => heartbeat.getLiveInstances(peers),
+    localAddress: cfg.outbound.address,
     supervisor: root.createChild("targets"),
     log,
     clock,
--- a/src/targets/prober.ts
+++ b/src/targets/prober.ts
@@ -134,7 +134,11 @@
 }
 
 /** Creates the prober of a pool's targets. */
-export function createProber(pool: Pool.Pool, clock: Clock.Clock): Prober {
+export function createProber(
+  pool: Pool.Pool,
+  clock: Clock.Clock,
+  localAddress?: string,
+): Prober {
   /** Targets for which another probe was wanted while one was running. */
   const again = new Set<Entry.Entry>();
 
@@ -187,6 +191,8 @@
       connections: 1,
       pipelining: 1,
       connect: { timeout: CONNECT_TIMEOUT_MS },
+      // Not within `connect`, where undici overwrites it.
+      ...localAddress === undefined ? {} : { localAddress },
       keepAliveTimeout: IDLE_CONNECTION_MS,
       maxResponseSize: MAX_BODY_BYTES,
     });
--- a/src/targets/targets.ts
+++ b/src/targets/targets.ts
@@ -11,6 +11,8 @@
 /** What the targets need of their instance. */
 export interface TargetsOptions extends Pool.PoolOptions {
   readonly supervisor: Supervisor.Supervisor;
+  /** Source IP of probes. */
+  readonly localAddress?: string | undefined;
 }
 
 /** The targets with their probing task. */
@@ -24,7 +26,7 @@
 export function createTargets(opts: TargetsOptions): RunningTargets {
   const supervisor = opts.supervisor.createChild("targets");
   const pool = Pool.createPool(opts);
-  const prober = Prober.createProber(pool, opts.clock);
+  const prober = Prober.createProber(pool, opts.clock, opts.localAddress);
   return {
     tryAcquire: pool.tryAcquire,
     hasUsable: pool.hasUsable,
