Keep every known key from targets, not only the one that was used

Only the key that authenticated a request was looked for in its headers. A second key in Authorization or a cookie, a key as basic credentials, and on open routes a key in the path or a query name reached the target. Seen in tests/proofs/keys_test.ts in the targets' records.

Ruled out: the hop-by-hop filter and relays. Words of header names, values and the URL are now compared with the digests of the keys record, percent-decoded and as basic credentials, too.

--- a/src/admission/account.ts
+++ b/src/admission/account.ts
@@ -6,6 +6,7 @@
 import { Ok, type Result } from "ts-results-es";
 import * as Headers from "../forward/headers.ts";
 import * as Respond from "../forward/respond.ts";
+import * as Find from "../keys/find.ts";
 import * as Relay from "../once/relay.ts";
 import * as ResultCodes from "../result_codes.ts";
 import * as Context from "./context.ts";
@@ -24,13 +25,18 @@
   return auth === undefined ? undefined : BEARER.exec(auth.trim())?.[1];
 }
 
+/** True when the text carries any key of the keys record. */
+export function hasKnownKey(deps: Context.Deps, text: string): boolean {
+  return Find.hasKnownKey(text, deps.keys.isKnownKey);
+}
+
 /** True when the URL carries the key that was sent, or any other known one. */
 export function isKeyInUrl(
   deps: Context.Deps,
   url: string,
   key: string | undefined,
 ): boolean {
-  if (Headers.containsKey(url, key)) return true;
+  if (Headers.containsKey(url, key) || hasKnownKey(deps, url)) return true;
   const at = url.indexOf("?");
   if (at < 0) return false;
   const values = new URLSearchParams(url.slice(at + 1)).values();
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -129,7 +129,11 @@
     id: start.requestId,
     req,
     res,
-    headers: Headers.filterRequestHeaders(pairs, key),
+    headers: Headers.filterRequestHeaders(
+      pairs,
+      key,
+      (text) => Account.hasKnownKey(deps, text),
+    ),
     method,
     route,
     rules,
--- a/src/forward/headers.ts
+++ b/src/forward/headers.ts
@@ -50,12 +50,14 @@
 }
 
 /**
- * Headers that a target may see. A header whose value contains the key is
- * dropped whatever its name, because callers put keys in odd places.
+ * Headers that a target may see. A header that contains the key, or for which
+ * `hasKnownKey` holds, is dropped whatever its name, because callers put keys in
+ * odd places.
  */
 export function filterRequestHeaders(
   pairs: HeaderPairs,
   key: string | undefined,
+  hasKnownKey: (text: string) => boolean = () => false,
 ): HeaderPairs {
   const tokens = getConnectionTokens(pairs);
   return pairs.filter(([name, value]) => {
@@ -64,7 +66,8 @@
     if (REPLACED_IN_REQUEST.has(lower) || lower.startsWith(OWN_PREFIX)) {
       return false;
     }
-    return !containsKey(name, key) && !containsKey(value, key);
+    return [name, value]
+      .every((text) => !containsKey(text, key) && !hasKnownKey(text));
   });
 }
 
