Blame the caller, not the target, for a body that breaks

A streamed body that grew over the limit or was malformed counted as a broken target: the target was ejected and the request reported as poison. Malformed chunks were answered 400 not-run although a part of the body had reached a target.

Ruled out: the targets (their probes answered at once). The exchange now says that the body broke; the slot is released as cancelled and the caller gets 413 unknown. Malformed HTTP on a connection with a request in progress gets unknown.

--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -221,6 +221,14 @@
     const name = isLate ? "deadlinePassed" : "runUnknown";
     return { kind: "refused", refusal: Respond.refuse(name, "unknown") };
   }
+  if (result.isBodyBroken) {
+    slot.release({ kind: "cancelled" });
+    if (result.isStarted) return { kind: "cut" };
+    return {
+      kind: "refused",
+      refusal: Respond.refuse("bodyTooLarge", "unknown"),
+    };
+  }
   slot.release({ kind: "broke" });
   deps.poison.reportBreak(ctx.fingerprint, slot.target.id);
   deps.log.warn("target-broke", {
--- a/src/daemon/servers.ts
+++ b/src/daemon/servers.ts
@@ -61,8 +61,16 @@
   });
 }
 
-/** Answers malformed HTTP before a request object exists. */
-function onClientError(err: NodeJS.ErrnoException, socket: Net.Socket): void {
+/**
+ * Answers malformed HTTP. When the body of a request in progress is malformed,
+ * a part of it may have reached a target.
+ */
+function onClientError(
+  err: NodeJS.ErrnoException,
+  socket: Net.Socket,
+  isBusy: boolean,
+): void {
+  const outcome: Types.Outcome = isBusy ? "unknown" : "not-run";
   if (err.code === "ECONNRESET" || !socket.writable) {
     socket.destroy();
     return;
@@ -75,12 +83,12 @@
     code: 106,
     name: "bad-request",
     message: "The request is malformed",
-    outcome: "not-run",
+    outcome,
   });
   socket.end(
     `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\n` +
       `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n` +
-      `anvilroute-code: 106\r\nanvilroute-outcome: not-run\r\n\r\n${body}`,
+      `anvilroute-code: 106\r\nanvilroute-outcome: ${outcome}\r\n\r\n${body}`,
   );
 }
 
@@ -90,6 +98,8 @@
 ): Promise<HttpListener> {
   let inFlight = 0;
   let isClosing = false;
+  /** Requests in progress by their connection. */
+  const busy = new Map<Net.Socket, number>();
   const server = Http.createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -100,13 +110,23 @@
     },
     (req, res) => {
       inFlight++;
-      res.once("close", () => inFlight--);
+      const { socket } = req;
+      busy.set(socket, (busy.get(socket) ?? 0) + 1);
+      res.once("close", () => {
+        inFlight--;
+        const left = (busy.get(socket) ?? 0) - 1;
+        if (left > 0) busy.set(socket, left);
+        else busy.delete(socket);
+      });
       if (isClosing) res.shouldKeepAlive = false;
       onRequest(req, res);
     },
   );
   server.maxConnections = MAX_CONNECTIONS;
-  server.on("clientError", onClientError);
+  server.on(
+    "clientError",
+    (err, socket: Net.Socket) => onClientError(err, socket, busy.has(socket)),
+  );
   return {
     address: await listen(server, address),
     getInFlight: () => inFlight,
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -48,6 +48,8 @@
     readonly kind: "broke";
     readonly reason: string;
     readonly isStarted: boolean;
+    /** The caller's body broke off or grew over the limit; the target is not to blame. */
+    readonly isBodyBroken: boolean;
   };
 
 /** Sends requests to targets. */
@@ -121,8 +123,21 @@
   };
 }
 
+async function* watchBody(
+  body: AsyncIterable<Buffer>,
+  onError: () => void,
+): AsyncGenerator<Buffer> {
+  try {
+    yield* body;
+  } catch (err) {
+    onError();
+    throw err;
+  }
+}
+
 function getDispatchBody(
   body: Body.RequestBody,
+  onError: () => void,
 ): Buffer | AsyncIterable<Buffer> | undefined {
   switch (body.kind) {
     case "none":
@@ -130,7 +145,7 @@
     case "whole":
       return body.data;
     case "stream":
-      return body.all;
+      return watchBody(body.all, onError);
   }
 }
 
@@ -152,6 +167,7 @@
   let controller: Undici.Dispatcher.DispatchController | undefined;
   let isSettled = false;
   let isStarted = false;
+  let isBodyBroken = false;
   let status = 0;
   let rawHeaders: Headers.HeaderPairs = [];
   let chunks: Buffer[] = [];
@@ -169,7 +185,7 @@
     settle(
       controller === undefined
         ? { kind: "not-sent", reason }
-        : { kind: "broke", reason, isStarted },
+        : { kind: "broke", reason, isStarted, isBodyBroken },
     );
   }
 
@@ -220,7 +236,9 @@
       path: req.path,
       headers: getHeaderList(req),
       // undici's types leave out async iterables, which it accepts.
-      body: (getDispatchBody(req.body) ?? null) as Buffer | null,
+      body: (getDispatchBody(req.body, () => isBodyBroken = true) ?? null) as
+        | Buffer
+        | null,
     },
     {
       onRequestStart(started) {
