--- a/testing/fleet/requests.ts
+++ b/testing/fleet/requests.ts
@@ -10,6 +10,8 @@
 
 const SEND_LIMIT_MS = 12_000;
 const SERVICE = "booking";
+/** Paths that some table of the proofs opens to all. */
+const OPEN_PATHS = ["/fleet", "/news"];
 
 /** A caller's request; the marker makes it unlike any other. */
 export interface Message {
@@ -257,6 +259,10 @@
 
   async function check(): Promise<Verdict> {
     const records = await getRecords();
+    const ended = new Set(
+      fleet.targets.filter((one) => !one.process.isRunning())
+        .map((one) => one.id),
+    );
     const messages = new Map(
       journal.map(({ message }) => [
         `${message.marker} ${message.ticket}`,
@@ -269,7 +275,7 @@
         checkRuns(message, records.get(message.marker) ?? [])
       ),
       ...journal.flatMap((sent) =>
-        checkAnswer(sent, records.get(sent.message.marker) ?? [])
+        checkAnswer(sent, records.get(sent.message.marker) ?? [], ended)
       ),
     ];
     const count = (is: (one: Sent) => boolean) => journal.filter(is).length;
@@ -338,7 +344,7 @@
     const where = runs.map((one) => `${one.target}#${one.execution}`).join(" ");
     found.push(`P9: ${message.path} ran ${runs.length} times: ${where}`);
   }
-  const allowed = message.path.startsWith("/fleet")
+  const allowed = OPEN_PATHS.some((open) => message.path.startsWith(open))
     ? "public"
     : message.account;
   for (const run of records) {
@@ -348,10 +354,25 @@
   return found;
 }
 
+/** True for a whole answer to this message from a target whose records ended with it. */
+function isFromEnded(sent: Sent, ended: ReadonlySet<string>): boolean {
+  const { account, body, method, path } = sent.message;
+  try {
+    const echo = JSON.parse(sent.body.toString()) as TargetRecord;
+    const bodySha256 = Crypto.createHash("sha256").update(body ?? "")
+      .digest("hex");
+    const own = { ...echo, account, bodySha256, method, path };
+    return ended.has(echo.target) && getExpectedBody(own).equals(sent.body);
+  } catch {
+    return false;
+  }
+}
+
 /** Promises 7 and 8: the own answer byte for byte, and true refusals. */
 function checkAnswer(
   sent: Sent,
   records: readonly TargetRecord[],
+  ended: ReadonlySet<string>,
 ): readonly string[] {
   const { message } = sent;
   const runs = filterRuns(message, records);
@@ -367,7 +388,8 @@
     ];
   }
   if (!isAnswer(sent)) return [];
-  const isOwn = runs.some((one) => getExpectedBody(one).equals(sent.body));
+  const isOwn = runs.some((one) => getExpectedBody(one).equals(sent.body)) ||
+    isFromEnded(sent, ended);
   return isOwn ? [] : [
     `P7: ${message.path} via ${sent.via}: ${sent.body.length} bytes that no ` +
     `target sent for it: ${sent.body.subarray(0, 80).toString("latin1")}`,
--- /dev/null
+++ b/tests/proofs/bad_input_test.ts
@@ -0,0 +1,328 @@
+import * as Crypto from "node:crypto";
+import * as Net from "node:net";
+import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
+import * as Client from "../../src/peer/client.ts";
+import type * as Fleet from "../../testing/fleet/fleet.ts";
+import * as Program from "../../testing/fleet/program.ts";
+import * as Proof from "../../testing/fleet/proof.ts";
+import type * as Requests from "../../testing/fleet/requests.ts";
+import * as Settings from "../../testing/harness/settings.ts";
+import * as Temp from "../../testing/harness/temp.ts";
+import * as Wait from "../../testing/harness/wait.ts";
+import * as Fleets from "../../testing/fleet/fleet.ts";
+
+const CONFIG_BOUND_MS = 6_000;
+const MAX_BODY_BYTES = 400_000;
+const RAW_LIMIT_MS = 5_000;
+
+describe("bad input", () => {
+  let fleet: Proof.ProofFleet;
+  let journal: Requests.Journal;
+
+  beforeAll(async () => {
+    fleet = await Proof.startProofFleet({
+      settings: { limits: { maxBodyBytes: MAX_BODY_BYTES } },
+    });
+    journal = fleet.journal;
+  });
+  afterAll(() => fleet?.stop());
+  afterEach(() => fleet?.heal());
+
+  /** Every instance still runs, serves a caller and hears its peers. */
+  async function expectServing(): Promise<void> {
+    for (const one of fleet.instances) {
+      expect(one.process.isRunning(), one.id).toBe(true);
+      const read = await journal.send(one, journal.createRead("/bikes"));
+      expect([one.id, read.status, read.code]).toEqual([one.id, 200, 0]);
+      const issuer = fleet.getInstance("south-1-a");
+      const order = await journal.createOrder(issuer, "/bookings");
+      expect((await journal.send(one, order)).status).toBe(200);
+    }
+    expect((await journal.check()).violations).toEqual([]);
+  }
+
+  /** Sends raw bytes; resolves with what came back when the other side closes or the limit passes. */
+  function sendRaw(
+    address: string,
+    chunks: readonly (string | Buffer)[],
+    limitMs = RAW_LIMIT_MS,
+  ): Promise<string> {
+    const [host = "", port = ""] = address.split(":");
+    return new Promise((resolve) => {
+      const socket = Net.connect(Number(port), host);
+      let got = "";
+      const timer = setTimeout(() => socket.destroy(), limitMs);
+      socket.on("data", (chunk) => got += chunk.toString("latin1"));
+      socket.on("error", () => {});
+      socket.on("close", () => {
+        clearTimeout(timer);
+        resolve(got);
+      });
+      for (const chunk of chunks) socket.write(chunk);
+    });
+  }
+
+  describe("at the peer port", () => {
+    it("survives malformed, oversized and unauthenticated messages", async () => {
+      const nonce = "0".repeat(32);
+      const identity = { id: "x", incarnation: "x", role: "peer", seq: 1 };
+      const hello = (more: object) =>
+        JSON.stringify({ hello: { version: 1, identity, nonce, ...more } });
+      const garbage: readonly (readonly (string | Buffer)[])[] = [
+        ["\n\n\n"],
+        ["not json\n"],
+        ["null\n[]\n{}\n"],
+        [Crypto.randomBytes(100_000)],
+        ["x".repeat(5_000_000)],
+        ["GET / HTTP/1.1\r\nhost: x\r\n\r\n"],
+        [`${hello({ version: 99 })}\n`],
+        [`${hello({ nonce: "short" })}\n`],
+        [`${hello({ identity: { id: 7 } })}\n`],
+        [`${hello({})}\n{"proof":"${"0".repeat(64)}"}\n`],
+        [
+          `${hello({})}\n`,
+          '{"jsonrpc":"2.0","id":1,"method":"config.push","params":{}}\n',
+        ],
+        [`${hello({ identity: { ...identity, id: "__proto__" } })}\n`, "{\n"],
+      ];
+      const { peer } = fleet.getInstance("north-1-a");
+      const answers = await Promise.all(
+        garbage.map((chunks) => sendRaw(peer, chunks)),
+      );
+      for (const answer of answers) {
+        expect(answer).not.toContain('"result"');
+        expect(answer).not.toContain(Settings.TEST_SECRET);
+      }
+      await expectServing();
+    });
+
+    it("refuses a wrong secret, and takes nothing from its holder", async () => {
+      const { peer } = fleet.getInstance("north-1-a");
+      const digest = Fleets.getDigest(fleet.keys.get("club") ?? "");
+      const client = Client.createPeerClient({
+        address: peer,
+        secret: "another-secret-of-some-length",
+        id: "stranger",
+      });
+      const push = { key: "keys", revision: 999, withdrawn: [digest] };
+      const pushed = await client.call("config.push", push, 2_000);
+      expect(pushed.isErr()).toBe(true);
+      await client.close();
+      await expectServing();
+    });
+
+    it("survives malformed calls of an authenticated peer", async () => {
+      const calls: readonly (readonly [string, unknown])[] = [
+        "heartbeat",
+        "config.get",
+        "config.push",
+        "lease.relay",
+        "shards.confirm",
+        "shards.handover",
+        "budget.borrow",
+        "once.adopt",
+        "once.owner",
+        "once.who",
+        "poison.report",
+        "status",
+        "explain",
+        "report.burn",
+        "members.list",
+        "no.such.method",
+      ].flatMap((method) =>
+        [
+          undefined,
+          null,
+          7,
+          "text",
+          [],
+          {},
+          { key: 1, entries: 7, revision: "x", transferId: {} },
+          { key: "keys", revision: 1e9, record: { accounts: 7 } },
+          { key: "table", revision: 1e9, record: { csv: "x\u0000y" } },
+          { filler: "x".repeat(200_000) },
+        ].map((params) => [method, params] as const)
+      );
+      const client = Client.createPeerClient({
+        address: fleet.getInstance("north-1-a").peer,
+        secret: Settings.TEST_SECRET,
+        id: "tool",
+      });
+      await Promise.all(
+        calls.map(([method, params]) => client.call(method, params, 2_000)),
+      );
+      await client.close();
+      await expectServing();
+    });
+  });
+
+  describe("in the store", () => {
+    async function write(key: string, value: string): Promise<void> {
+      const current = (await fleet.store.get(key)).unwrap();
+      const opts = { writeId: Crypto.randomUUID() };
+      await fleet.store.cas(key, current?.version ?? 0, value, opts);
+    }
+
+    it("keeps the table and the keys in force over values that do not parse", async () => {
+      const before = await Promise.all(
+        ["table", "keys"].map(async (key) =>
+          (await fleet.store.get(key)).unwrap()
+        ),
+      );
+      const long = "x".repeat(1_000_000);
+      const csv = Proof.formatProofTable();
+      const bad: readonly (readonly [string, string])[] = [
+        ["table", "not json"],
+        ["table", JSON.stringify({ writeId: "w", by: "x", csv: "a,b\n1" })],
+        ["table", JSON.stringify({ writeId: "w", by: "x", csv: `${csv}"` })],
+        [
+          "table",
+          JSON.stringify({
+            writeId: "w",
+            by: "x",
+            csv: csv.replace("100", "-1"),
+          }),
+        ],
+        ["table", JSON.stringify({ writeId: "w", by: "x", csv: long })],
+        [
+          "table",
+          JSON.stringify({ writeId: "w", by: "x", csv: ",".repeat(900_000) }),
+        ],
+        ["keys", "[]"],
+        ["keys", JSON.stringify({ writeId: "w", accounts: 7, withdrawn: [] })],
+        [
+          "keys",
+          JSON.stringify({ writeId: "w", accounts: {}, withdrawn: ["x"] }),
+        ],
+        ["shards/north-1/0", '{"owner":7}'],
+        ["members/ghost", "{"],
+      ];
+      for (const [key, value] of bad) {
+        await write(key, value);
+        await expectServing();
+      }
+      for (const record of before) {
+        if (record === undefined) throw new Error("no record");
+        const value = JSON.parse(record.value);
+        const writeId = Crypto.randomUUID();
+        await Fleets.writeRecord(fleet.store, record.key, {
+          ...value,
+          writeId,
+        });
+      }
+      await fleet.writeTable(csv.replaceAll("/fleet", "/fleet /news"));
+      for (const one of fleet.instances) {
+        await Wait.waitFor(
+          async () => (await readPublic(one, "/news")).status === 200,
+          CONFIG_BOUND_MS,
+          `${one.id} has the next good table`,
+        );
+      }
+    });
+
+    function readPublic(one: Fleet.FleetInstance, path: string) {
+      return journal.send(one, journal.createRead(path, { account: "nobody" }));
+    }
+  });
+
+  describe("from callers", () => {
+    /** A request head without its body. */
+    function formatHead(lines: readonly string[]): string {
+      const key = `anvilroute-key: ${fleet.keys.get("club")}`;
+      return [...lines, "host: x", key, "", ""].join("\r\n");
+    }
+
+    it("bounds slow bodies by the deadline, as not run, while others are served", async () => {
+      const entry = fleet.getInstance("north-1-a");
+      const head = formatHead([
+        "POST /s/booking/upload?m=slow-body HTTP/1.1",
+        "content-length: 1000",
+      ]);
+      const slow = Array.from(
+        { length: 40 },
+        () => sendRaw(entry.caller, [head, "x"], 8_000),
+      );
+      await expectServing();
+      for (const answer of await Promise.all(slow)) {
+        expect(answer).toContain("anvilroute-outcome: not-run");
+      }
+      expect((await journal.getRecords()).get("slow-body")).toBe(undefined);
+    });
+
+    it("blames no target for callers whose body is too long, breaks off or is malformed", async () => {
+      const entry = fleet.getInstance("north-1-a");
+      const chunked = formatHead([
+        "POST /s/booking/upload?m=endless HTTP/1.1",
+        "transfer-encoding: chunked",
+        "connection: close",
+      ]);
+      const size = 50_000;
+      const chunk = `${size.toString(16)}\r\n${"x".repeat(size)}\r\n`;
+      const whole = Array.from({ length: 12 }, () => chunk);
+      const bodies = [whole, [...whole.slice(0, 6), "zz\r\n"]];
+      const before = new Set(entry.process.getLog());
+      for (let i = 0; i < 6; i++) {
+        for (const body of bodies) {
+          const answer = await sendRaw(entry.caller, [chunked, ...body], 2_000);
+          // A part of the body has reached a target, which may have begun.
+          expect(answer).toContain("anvilroute-outcome: unknown");
+        }
+      }
+      const blamed = entry.process.getLog()
+        .filter((line) => !before.has(line))
+        .filter((line) => /target-broke|ejected|poison/.test(line));
+      expect(blamed).toEqual([]);
+      await expectServing();
+    });
+
+    it("answers malformed and oversized heads", async () => {
+      const entry = fleet.getInstance("north-1-a");
+      const heads = [
+        "\u0000\u0001\u0002\r\n\r\n",
+        "GET /s/booking/bikes HTTP/9.9\r\n\r\n",
+        `GET /s/booking/${"x".repeat(10_000)} HTTP/1.1\r\nhost: x\r\n\r\n`,
+        `GET / HTTP/1.1\r\nhost: x\r\nx: ${"y".repeat(40_000)}\r\n\r\n`,
+        "POST /s/booking/x HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n",
+        "POST /s/booking/x HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n" +
+        "transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+      ];
+      const answers = await Promise.all(
+        heads.map((head) => sendRaw(entry.caller, [head], 2_000)),
+      );
+      for (const answer of answers) {
+        expect(answer).toMatch(/^HTTP\/1\.1 4\d\d /);
+        expect(answer).toContain("anvilroute-outcome: not-run");
+      }
+      await expectServing();
+    });
+  });
+
+  describe("in the settings", () => {
+    it("ends with code 2, naming the setting, the value and what is allowed", async () => {
+      const good = {
+        id: "x",
+        domain: "north-1",
+        region: "north",
+        platform: fleet.platform.address,
+      };
+      const text = Settings.formatSettings(good);
+      const cases: readonly (readonly [string, RegExp])[] = [
+        ["= [", /settings-syntax/],
+        [text.replace('"north-1"', "7"), /instance\.domain/],
+        [`${text}\n[lease]\nttl_ms = 1\n`, /lease\.ttl_ms.*1.*2000/],
+        [`${text}\n[surprise]\nx = 1\n`, /surprise/],
+        [text.replace(Settings.TEST_SECRET, "short"), /peers\.secret/],
+      ];
+      for (const [toml, expected] of cases) {
+        const path = Temp.writeTempFile("bad.toml", toml);
+        const args = ["--config", path];
+        const ended = await Program.runProgram("src/daemon/main.js", args);
+        expect([ended.code, ended.stdout]).toEqual([2, ""]);
+        expect(ended.stderr).toMatch(expected);
+      }
+      const missing = ["--config", "/nonexistent.toml"];
+      const ended = await Program.runProgram("src/daemon/main.js", missing);
+      expect(ended.code).toBe(2);
+    });
+  });
+});
