Let explain ask an instance of the caller's region

Change: the tool asks an instance of that region first, names the region of the one that answered, and notes when it is another one. Before: the first instance by name, without a word. After: see tests/cli_test.ts.

--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -8,6 +8,7 @@
 export interface Instance {
   readonly id: Types.InstanceId;
   readonly address: Types.Address;
+  readonly region: Types.Region;
   readonly state: Types.MemberState;
   /** False when no asked peer hears it. */
   readonly isHeard: boolean;
@@ -34,7 +35,7 @@
 interface ListedMember {
   readonly heartbeat: Pick<
     Types.Heartbeat,
-    "id" | "state" | "peerAddress"
+    "id" | "region" | "state" | "peerAddress"
   >;
   readonly isReachable: boolean;
 }
@@ -44,6 +45,7 @@
   const heartbeat = member?.heartbeat as Partial<Types.Heartbeat> | undefined;
   return typeof heartbeat?.id === "string" &&
     typeof heartbeat.peerAddress === "string" &&
+    typeof heartbeat.region === "string" &&
     typeof heartbeat.state === "string";
 }
 
@@ -82,12 +84,12 @@
 
 function addMembers(instances: Map<string, Instance>, raw: unknown): void {
   for (const member of Array.isArray(raw) ? raw.filter(isListed) : []) {
-    const { id, state, peerAddress } = member.heartbeat;
+    const { id, region, state, peerAddress } = member.heartbeat;
     const before = instances.get(id);
     // Of several views, one that hears the instance has its newest address.
     if (before?.isHeard === true && !member.isReachable) continue;
     const isHeard = member.isReachable;
-    instances.set(id, { id, address: peerAddress, state, isHeard });
+    instances.set(id, { id, address: peerAddress, region, state, isHeard });
   }
 }
 
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -148,11 +148,15 @@
     account: opts.account,
     region: opts.from,
   };
-  // Instances that a peer hears answer at once; the others may take a whole time-out.
-  const sorted = [...candidates]
-    .sort((a, b) => Number(b.isHeard) - Number(a.isHeard));
+  // An instance answers for callers of its own region. Those that a peer hears
+  // answer at once; the others may take a whole time-out.
+  const isNear = (one: Fleet.Instance) => one.region === opts.from;
+  const sorted = [...candidates].sort((a, b) =>
+    Number(b.isHeard) - Number(a.isHeard) ||
+    Number(isNear(b)) - Number(isNear(a))
+  );
   let last: Result<never, ResultCodes.Failure> | undefined;
-  for (const { id, address } of sorted) {
+  for (const { id, address, region } of sorted) {
     const answer = await ctx.getPeer(address)
       .call<unknown>("explain", params, ctx.settings.timeoutMs);
     if (answer.isErr()) {
@@ -161,9 +165,17 @@
       if (answer.error.code === ResultCodes.codes.peerError) break;
       continue;
     }
-    ctx.out.line(`as seen by instance ${id}:`);
+    ctx.out.line(`as seen by instance ${id} in ${region}:`);
+    if (region !== opts.from) {
+      const why = opts.instance === undefined
+        ? `: no instance of ${opts.from} answers`
+        : "";
+      ctx.out.note(
+        `${id} answers for callers of ${region}, not of ${opts.from}${why}`,
+      );
+    }
     formatTree(answer.value, "  ").forEach((line) => ctx.out.line(line));
-    ctx.out.json({ instance: id, explanation: answer.value });
+    ctx.out.json({ instance: id, region, explanation: answer.value });
     return Ok(Context.EXIT.ok);
   }
   return last!;
--- a/src/daemon/rpc.ts
+++ b/src/daemon/rpc.ts
@@ -69,7 +69,7 @@
   readonly account: Types.Account;
 }
 
-/** What this instance would do with a request now, and which limit binds first. */
+/** What this instance would do with a request of its own region now; the tool asks one in the caller's. */
 function explain(sources: RpcSources, params: ExplainParams): unknown {
   const { deps, budgets, steering } = sources;
   const rules = deps.config.getTable()?.services.get(params.service);
--- a/tests/cli_test.ts
+++ b/tests/cli_test.ts
@@ -222,6 +222,19 @@
     Baseline.expectBaseline("cli_explain.txt", out);
   });
 
+  it("explains by an instance of the caller's region, or says that it does not", async () => {
+    const command = "explain --service booking --account lakeland --from";
+    const near = await world.run(`${command} pirkanmaa`);
+    expect(near.out).toContain("as seen by instance c1 in pirkanmaa:");
+    expect(near.err).toBe("");
+    world.instances[2]!.isDown = true;
+    const far = await world.run(`${command} pirkanmaa`);
+    expect(far.out).toContain("as seen by instance a1 in uusimaa:");
+    expect(far.err).toContain(
+      "answers for callers of uusimaa, not of pirkanmaa",
+    );
+  });
+
   it("reports the burn of instances that answer and names the others", async () => {
     const clock = { nowMs: () => 0, wallMs: () => 1_800_000_000_000 };
     const metrics = Metrics.createMetrics({ clock, instance: "a1" });
--- a/tests/support/fake_fleet.ts
+++ b/tests/support/fake_fleet.ts
@@ -103,7 +103,12 @@
   switch (method) {
     case "members.list":
       return all.map((it) => ({
-        heartbeat: { id: it.id, state: "live", peerAddress: it.address },
+        heartbeat: {
+          id: it.id,
+          region: it.id === "c1" ? "pirkanmaa" : "uusimaa",
+          state: "live",
+          peerAddress: it.address,
+        },
         ageMs: 10,
         isReachable: !it.isDown,
       }));
