Pass a relayed order on to the instance that has taken the ledger

Cause: a relayed request that waited at its issuer for the end of the hand-over, or came between it and the announcement of the new owner, was refused as unknown (E113), although the issuer knew who owns the ticket now. Callers saw 4 unknown orders in one planned stop. Ruled out: the heir (it had the ledger), and unreachable peers. Change: the issuer passes the request on. Ownership only moves to later owners, so the request can't come back.

--- a/src/admission/once.ts
+++ b/src/admission/once.ts
@@ -44,8 +44,13 @@
   if (deps.ledger.isOwner(ticket.issuer, ticket.incarnation)) {
     return await serveAsOwner(deps, ctx, ticket);
   }
-  // A second hop would mean that two instances disagree about the owner.
-  if (ctx.caller.isRelayed) return refuse(ctx, "issuerUnreachable", "unknown");
+  // A relayed request goes on only to an instance that is known to have taken the
+  // ledger: hand-overs lead to later owners, so the way never returns here.
+  const { issuer, incarnation } = ticket;
+  const isMoved = deps.ledger.tryGetOwner(issuer, incarnation) !== undefined;
+  if (ctx.caller.isRelayed && !isMoved) {
+    return refuse(ctx, "issuerUnreachable", "unknown");
+  }
   return await passOn(deps, ctx, ticket);
 }
 
