Read keys sooner after an outage of the store

Cause: after failed watches the next one came up to 2.5 s later and then waited for a change for 1 s. Other calls showed meanwhile that the store was back, so that the outage no longer excused the missing evidence and keyed requests were refused with E104. Change: the pause between failed watches is 500 ms at most, and the first watch after a failure asks for an answer at once.

--- a/src/config/watchers.ts
+++ b/src/config/watchers.ts
@@ -18,7 +18,8 @@
 
 const ROLE_CHECK_MS = 500;
 const BACKOFF_MIN_MS = 200;
-const BACKOFF_MAX_MS = 2_000;
+/** Keyed requests are refused from the store's recovery until the next watch. */
+const BACKOFF_MAX_MS = 500;
 /** Keeps a store that answers at once from being asked without pause. */
 const MIN_WATCH_INTERVAL_MS = 100;
 
@@ -56,10 +57,11 @@
   async function watchOnce(
     key: Records.RecordKey,
     afterRevision: number,
+    waitMs: number,
     signal: AbortSignal,
   ): Promise<number | undefined> {
     const sentAtMs = clock.nowMs();
-    const res = await platform.watch(key, afterRevision, WATCH_WAIT_MS, signal);
+    const res = await platform.watch(key, afterRevision, waitMs, signal);
     if (res.isErr()) return undefined;
     const entry = res.value.entries.find((one) => one.key === key);
     args.take(key, entry, sentAtMs);
@@ -80,7 +82,9 @@
         await ClockModule.sleep(ROLE_CHECK_MS, signal);
         continue;
       }
-      const next = await watchOnce(key, revision, signal);
+      // After a failure an answer at once is evidence sooner than one that waits.
+      const waitMs = backoffMs === BACKOFF_MIN_MS ? WATCH_WAIT_MS : 0;
+      const next = await watchOnce(key, revision, waitMs, signal);
       if (next !== undefined) {
         revision = next;
         backoffMs = BACKOFF_MIN_MS;
