--- a/src/cli/key_commands.ts
+++ b/src/cli/key_commands.ts
@@ -156,7 +156,9 @@
         .map(({ id, digest }) => ({ account, id, digest }))
     );
   ctx.out.line(
-    `revision ${revision}: ${keys.length} keys shown, ` +
+    `revision ${revision}: ${keys.length} ${
+      keys.length === 1 ? "key" : "keys"
+    } shown, ` +
       `${record.withdrawn.length} withdrawn in all`,
   );
   for (const { account, id, digest } of keys) {
--- a/src/daemon/rpc.ts
+++ b/src/daemon/rpc.ts
@@ -73,7 +73,22 @@
 function explain(sources: RpcSources, params: ExplainParams): unknown {
   const { deps, budgets, steering } = sources;
   const rules = deps.config.getTable()?.services.get(params.service);
-  if (rules === undefined) return { error: "no such service" };
+  if (rules === undefined) {
+    const known = [...deps.config.getTable()?.services.keys() ?? []];
+    throw new Error(
+      `no service ${params.service} in the table; known: ${known.join(", ")}`,
+    );
+  }
+  const accounts = new Set(
+    rules.rows.flatMap((row) => [...row.accounts.keys()]),
+  );
+  if (!accounts.has(params.account)) {
+    throw new Error(
+      `no account ${params.account} at ${params.service}; known: ${
+        [...accounts].join(", ")
+      }`,
+    );
+  }
   const weights = steering.getEffectiveWeights(params.service);
   const targets = deps.targets.list()
     .filter((one) => one.service === params.service);
@@ -85,7 +100,7 @@
     regions: rules.rows.map((row) => ({
       region: row.region,
       tableWeight: row.weight,
-      effectiveWeight: weights.get(row.region),
+      shareOfCallersPct: weights.get(row.region),
       usableTargets: targets.filter((one) =>
         one.region === row.region &&
         (one.state === "usable" || one.state === "cold")
