--- a/testing/bench/lookup_answers.ts
+++ b/testing/bench/lookup_answers.ts
@@ -26,6 +26,7 @@
     tableRevision: 1,
     keysRevision: 1,
     storeSeenMsAgo: 0,
+    isStoreFailing: false,
     relayedStoreSeenMsAgo: 0,
     load: Math.random() / 2,
     shards: [(i / DOMAINS | 0) % Division.SHARDS_PER_DOMAIN],
