--- a/tests/proofs/answers_test.ts
+++ b/tests/proofs/answers_test.ts
@@ -1,5 +1,5 @@
-import * as Http from "node:http";
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
+import * as Crossing from "../../testing/fleet/crossing.ts";
 import * as Proof from "../../testing/fleet/proof.ts";
 import type * as Requests from "../../testing/fleet/requests.ts";
 import * as Wait from "../../testing/harness/wait.ts";
@@ -80,36 +80,9 @@
     });
 
     it("over kept-alive connections of which targets send a second, crossed answer", async () => {
-      // Answers twice; the second one arrives when the connection is idle or used again.
-      const crossing = Http.createServer((req, res) => {
-        if (req.url === "/healthz" || req.url === "/load") {
-          return res.end('{"state":"live","inUse":0,"slots":8}');
-        }
-        const { socket } = req;
-        res.end(
-          `own ${req.url}`,
-          () =>
-            setTimeout(() =>
-              socket.write(
-                "HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\ncrossed",
-              ), 2),
-        );
-      });
-      await new Promise<void>((resolve) =>
-        crossing.listen(0, "127.0.0.1", resolve)
+      const crossing = await Crossing.startCrossingTarget(
+        fleet.platform.address,
       );
-      const { port } = crossing.address() as { port: number };
-      const register = async (ttlMs: number) => {
-        const url = `http://${fleet.platform.address}/v1/instances/crossing`;
-        const body = JSON.stringify({
-          ...{ id: "crossing", service: "booking", domain: "north-1" },
-          ...{ region: "north", address: `127.0.0.1:${port}`, slots: 8 },
-          ...{ state: "live", ttlMs },
-        });
-        const headers = { "content-type": "application/json" };
-        await fetch(url, { method: "PUT", body, headers });
-      };
-      await register(30_000);
       const entry = fleet.getInstance("north-1-a");
       let own = 0;
       const key = fleet.keys.get("club") ?? "";
@@ -127,9 +100,7 @@
           if (text.startsWith("own")) own++;
         }));
       }
-      crossing.closeAllConnections();
-      crossing.close();
-      await register(1);
+      await crossing.stop();
       expect(own, "the crossing target was used").toBeGreaterThan(0);
     });
   });
--- a/tests/proofs/bad_input_test.ts
+++ b/tests/proofs/bad_input_test.ts
@@ -1,19 +1,18 @@
 import * as Crypto from "node:crypto";
-import * as Net from "node:net";
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
 import * as Client from "../../src/peer/client.ts";
-import type * as Fleet from "../../testing/fleet/fleet.ts";
+import * as BadValues from "../../testing/fleet/bad_values.ts";
+import * as Fleet from "../../testing/fleet/fleet.ts";
 import * as Program from "../../testing/fleet/program.ts";
 import * as Proof from "../../testing/fleet/proof.ts";
+import * as Raw from "../../testing/fleet/raw.ts";
 import type * as Requests from "../../testing/fleet/requests.ts";
 import * as Settings from "../../testing/harness/settings.ts";
 import * as Temp from "../../testing/harness/temp.ts";
 import * as Wait from "../../testing/harness/wait.ts";
-import * as Fleets from "../../testing/fleet/fleet.ts";
 
 const CONFIG_BOUND_MS = 6_000;
 const MAX_BODY_BYTES = 400_000;
-const RAW_LIMIT_MS = 5_000;
 
 describe("bad input", () => {
   let fleet: Proof.ProofFleet;
@@ -41,53 +40,11 @@
     expect((await journal.check()).violations).toEqual([]);
   }
 
-  /** Sends raw bytes; resolves with what came back when the other side closes or the limit passes. */
-  function sendRaw(
-    address: string,
-    chunks: readonly (string | Buffer)[],
-    limitMs = RAW_LIMIT_MS,
-  ): Promise<string> {
-    const [host = "", port = ""] = address.split(":");
-    return new Promise((resolve) => {
-      const socket = Net.connect(Number(port), host);
-      let got = "";
-      const timer = setTimeout(() => socket.destroy(), limitMs);
-      socket.on("data", (chunk) => got += chunk.toString("latin1"));
-      socket.on("error", () => {});
-      socket.on("close", () => {
-        clearTimeout(timer);
-        resolve(got);
-      });
-      for (const chunk of chunks) socket.write(chunk);
-    });
-  }
-
   describe("at the peer port", () => {
     it("survives malformed, oversized and unauthenticated messages", async () => {
-      const nonce = "0".repeat(32);
-      const identity = { id: "x", incarnation: "x", role: "peer", seq: 1 };
-      const hello = (more: object) =>
-        JSON.stringify({ hello: { version: 1, identity, nonce, ...more } });
-      const garbage: readonly (readonly (string | Buffer)[])[] = [
-        ["\n\n\n"],
-        ["not json\n"],
-        ["null\n[]\n{}\n"],
-        [Crypto.randomBytes(100_000)],
-        ["x".repeat(5_000_000)],
-        ["GET / HTTP/1.1\r\nhost: x\r\n\r\n"],
-        [`${hello({ version: 99 })}\n`],
-        [`${hello({ nonce: "short" })}\n`],
-        [`${hello({ identity: { id: 7 } })}\n`],
-        [`${hello({})}\n{"proof":"${"0".repeat(64)}"}\n`],
-        [
-          `${hello({})}\n`,
-          '{"jsonrpc":"2.0","id":1,"method":"config.push","params":{}}\n',
-        ],
-        [`${hello({ identity: { ...identity, id: "__proto__" } })}\n`, "{\n"],
-      ];
       const { peer } = fleet.getInstance("north-1-a");
       const answers = await Promise.all(
-        garbage.map((chunks) => sendRaw(peer, chunks)),
+        BadValues.peerMessages.map((chunks) => Raw.sendRaw(peer, chunks)),
       );
       for (const answer of answers) {
         expect(answer).not.toContain('"result"');
@@ -98,7 +55,7 @@
 
     it("refuses a wrong secret, and takes nothing from its holder", async () => {
       const { peer } = fleet.getInstance("north-1-a");
-      const digest = Fleets.getDigest(fleet.keys.get("club") ?? "");
+      const digest = Fleet.getDigest(fleet.keys.get("club") ?? "");
       const client = Client.createPeerClient({
         address: peer,
         secret: "another-secret-of-some-length",
@@ -112,44 +69,15 @@
     });
 
     it("survives malformed calls of an authenticated peer", async () => {
-      const calls: readonly (readonly [string, unknown])[] = [
-        "heartbeat",
-        "config.get",
-        "config.push",
-        "lease.relay",
-        "shards.confirm",
-        "shards.handover",
-        "budget.borrow",
-        "once.adopt",
-        "once.owner",
-        "once.who",
-        "poison.report",
-        "status",
-        "explain",
-        "report.burn",
-        "members.list",
-        "no.such.method",
-      ].flatMap((method) =>
-        [
-          undefined,
-          null,
-          7,
-          "text",
-          [],
-          {},
-          { key: 1, entries: 7, revision: "x", transferId: {} },
-          { key: "keys", revision: 1e9, record: { accounts: 7 } },
-          { key: "table", revision: 1e9, record: { csv: "x\u0000y" } },
-          { filler: "x".repeat(200_000) },
-        ].map((params) => [method, params] as const)
-      );
       const client = Client.createPeerClient({
         address: fleet.getInstance("north-1-a").peer,
         secret: Settings.TEST_SECRET,
         id: "tool",
       });
       await Promise.all(
-        calls.map(([method, params]) => client.call(method, params, 2_000)),
+        BadValues.peerCalls.map(([method, params]) =>
+          client.call(method, params, 2_000)
+        ),
       );
       await client.close();
       await expectServing();
@@ -169,35 +97,8 @@
           (await fleet.store.get(key)).unwrap()
         ),
       );
-      const long = "x".repeat(1_000_000);
       const csv = Proof.formatProofTable();
-      const bad: readonly (readonly [string, string])[] = [
-        ["table", "not json"],
-        ["table", JSON.stringify({ writeId: "w", by: "x", csv: "a,b\n1" })],
-        ["table", JSON.stringify({ writeId: "w", by: "x", csv: `${csv}"` })],
-        [
-          "table",
-          JSON.stringify({
-            writeId: "w",
-            by: "x",
-            csv: csv.replace("100", "-1"),
-          }),
-        ],
-        ["table", JSON.stringify({ writeId: "w", by: "x", csv: long })],
-        [
-          "table",
-          JSON.stringify({ writeId: "w", by: "x", csv: ",".repeat(900_000) }),
-        ],
-        ["keys", "[]"],
-        ["keys", JSON.stringify({ writeId: "w", accounts: 7, withdrawn: [] })],
-        [
-          "keys",
-          JSON.stringify({ writeId: "w", accounts: {}, withdrawn: ["x"] }),
-        ],
-        ["shards/north-1/0", '{"owner":7}'],
-        ["members/ghost", "{"],
-      ];
-      for (const [key, value] of bad) {
+      for (const [key, value] of BadValues.getStoreValues(csv)) {
         await write(key, value);
         await expectServing();
       }
@@ -205,7 +106,7 @@
         if (record === undefined) throw new Error("no record");
         const value = JSON.parse(record.value);
         const writeId = Crypto.randomUUID();
-        await Fleets.writeRecord(fleet.store, record.key, {
+        await Fleet.writeRecord(fleet.store, record.key, {
           ...value,
           writeId,
         });
@@ -240,7 +141,7 @@
       ]);
       const slow = Array.from(
         { length: 40 },
-        () => sendRaw(entry.caller, [head, "x"], 8_000),
+        () => Raw.sendRaw(entry.caller, [head, "x"], 8_000),
       );
       await expectServing();
       for (const answer of await Promise.all(slow)) {
@@ -263,7 +164,11 @@
       const before = new Set(entry.process.getLog());
       for (let i = 0; i < 6; i++) {
         for (const body of bodies) {
-          const answer = await sendRaw(entry.caller, [chunked, ...body], 2_000);
+          const answer = await Raw.sendRaw(
+            entry.caller,
+            [chunked, ...body],
+            2_000,
+          );
           // A part of the body has reached a target, which may have begun.
           expect(answer).toContain("anvilroute-outcome: unknown");
         }
@@ -277,17 +182,10 @@
 
     it("answers malformed and oversized heads", async () => {
       const entry = fleet.getInstance("north-1-a");
-      const heads = [
-        "\u0000\u0001\u0002\r\n\r\n",
-        "GET /s/booking/bikes HTTP/9.9\r\n\r\n",
-        `GET /s/booking/${"x".repeat(10_000)} HTTP/1.1\r\nhost: x\r\n\r\n`,
-        `GET / HTTP/1.1\r\nhost: x\r\nx: ${"y".repeat(40_000)}\r\n\r\n`,
-        "POST /s/booking/x HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n",
-        "POST /s/booking/x HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n" +
-        "transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
-      ];
       const answers = await Promise.all(
-        heads.map((head) => sendRaw(entry.caller, [head], 2_000)),
+        BadValues.requestHeads.map((head) =>
+          Raw.sendRaw(entry.caller, [head], 2_000)
+        ),
       );
       for (const answer of answers) {
         expect(answer).toMatch(/^HTTP\/1\.1 4\d\d /);
@@ -306,14 +204,7 @@
         platform: fleet.platform.address,
       };
       const text = Settings.formatSettings(good);
-      const cases: readonly (readonly [string, RegExp])[] = [
-        ["= [", /settings-syntax/],
-        [text.replace('"north-1"', "7"), /instance\.domain/],
-        [`${text}\n[lease]\nttl_ms = 1\n`, /lease\.ttl_ms.*1.*2000/],
-        [`${text}\n[surprise]\nx = 1\n`, /surprise/],
-        [text.replace(Settings.TEST_SECRET, "short"), /peers\.secret/],
-      ];
-      for (const [toml, expected] of cases) {
+      for (const [toml, expected] of BadValues.getSettings(text)) {
         const path = Temp.writeTempFile("bad.toml", toml);
         const args = ["--config", path];
         const ended = await Program.runProgram("src/daemon/main.js", args);
--- a/tests/proofs/keys_test.ts
+++ b/tests/proofs/keys_test.ts
@@ -1,13 +1,10 @@
-import * as Crypto from "node:crypto";
-import * as Http from "node:http";
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
 import * as PeerClient from "../../src/peer/client.ts";
 import * as Fleet from "../../testing/fleet/fleet.ts";
-import * as Program from "../../testing/fleet/program.ts";
+import * as KeyUse from "../../testing/fleet/key_use.ts";
 import * as Proof from "../../testing/fleet/proof.ts";
 import type * as Requests from "../../testing/fleet/requests.ts";
 import * as Settings from "../../testing/harness/settings.ts";
-import * as Temp from "../../testing/harness/temp.ts";
 import * as Wait from "../../testing/harness/wait.ts";
 
 /** "Within seconds" of promise 5. */
@@ -97,23 +94,9 @@
 
   describe("stay with the system", () => {
     it("shows no target a key, wherever a caller put it and through whichever instance", async () => {
-      const key = getKey("club");
-      const second = getKey("hut");
-      const basic = (text: string) =>
-        `Basic ${Buffer.from(text).toString("base64")}`;
-      const places: readonly Readonly<Record<string, string>>[] = [
-        { authorization: `Bearer ${key}`, cookie: `k=${key}` },
-        { "x-note": `see ${key}`, referer: `http://x/?key=${key}` },
-        { "x-encoded": encodeURIComponent(key).replace("_", "%5F") },
-        { connection: "x-hop", "x-hop": key },
-        // A caller with two accounts, or one that changes keys, sends both.
-        { authorization: `Bearer ${second}` },
-        { cookie: `a=b; key=${second}` },
-        { authorization: basic(`club:${key}`) },
-        { authorization: basic(`hut:${second}`) },
-      ];
+      const [key, second] = [getKey("club"), getKey("hut")];
       const issuer = fleet.getInstance("south-1-a");
-      for (const headers of places) {
+      for (const headers of KeyUse.getKeyPlaces(key, second)) {
         for (const instance of fleet.getRunning()) {
           await journal.send(
             instance,
@@ -188,87 +171,8 @@
   });
 
   describe("stop working when they are withdrawn", () => {
-    /** Adds a key to an account in the store and waits until all instances take it. */
-    async function issueKey(): Promise<string> {
-      const key = `club_${Crypto.randomBytes(24).toString("base64url")}`;
-      const digest = Fleet.getDigest(key);
-      const stored = (await fleet.store.get("keys")).unwrap();
-      const record = JSON.parse(stored?.value ?? "");
-      record.writeId = Crypto.randomUUID();
-      record.accounts.club.push({ id: digest.slice(0, 8), digest });
-      await Fleet.writeRecord(fleet.store, "keys", record);
-      for (const one of fleet.getRunning()) {
-        await Wait.waitFor(
-          async () => (await sendWith(one, key)).status === 200,
-          WITHDRAWAL_BOUND_MS,
-          `${one.id} takes the new key`,
-        );
-      }
-      return key;
-    }
-
-    function sendWith(
-      instance: Fleet.FleetInstance,
-      key: string,
-      query?: string,
-    ): Promise<Requests.Sent> {
-      const opts = { headers: { "anvilroute-key": key } };
-      return journal.send(
-        instance,
-        journal.createRead(
-          "/bikes",
-          query === undefined ? opts : { ...opts, query },
-        ),
-      );
-    }
-
-    /** Runs the operators' tool; it is given the peers of all running instances. */
-    function withdraw(key: string): Promise<Program.ProgramResult> {
-      const secret = Temp.writeTempFile("secret", Settings.TEST_SECRET);
-      return Program.runProgram("src/cli/main.js", [
-        ...["--platform", fleet.platform.address, "--secret-file", secret],
-        ...fleet.getRunning().flatMap((one) => ["--peer", one.peer]),
-        ...["key", "withdraw", "--digest", Fleet.getDigest(key)],
-      ]);
-    }
-
-    /** Requests on one kept-alive connection; resolves with the codes and the time of the last 200. */
-    function keepSending(instance: Fleet.FleetInstance, key: string) {
-      const agent = new Http.Agent({ keepAlive: true, maxSockets: 1 });
-      const sockets = new Set<unknown>();
-      let lastGoodMs = 0;
-      let isOver = false;
-      const [host, port] = instance.caller.split(":");
-      const one = () =>
-        new Promise<void>((resolve) => {
-          const req = Http.get({
-            agent,
-            host,
-            port,
-            path: "/s/booking/bikes?m=kept-alive",
-            headers: { "anvilroute-key": key },
-          }, (res) => {
-            sockets.add(req.socket);
-            if (res.statusCode === 200) lastGoodMs = performance.now();
-            res.resume().on("end", resolve);
-          });
-          req.on("error", () => resolve());
-        });
-      const done = (async () => {
-        while (!isOver) {
-          await one();
-          await new Promise((resolve) => setTimeout(resolve, 10));
-        }
-        agent.destroy();
-      })();
-      return {
-        async stop() {
-          isOver = true;
-          await done;
-          return { lastGoodMs, connections: sockets.size };
-        },
-      };
-    }
+    const sendWith = (one: Fleet.FleetInstance, key: string, query?: string) =>
+      KeyUse.sendWith(fleet, one, key, query);
 
     async function expectRefusedEverywhere(
       key: string,
@@ -289,12 +193,14 @@
     }
 
     it("on kept-alive connections, for queued requests and for resends of an order that ran", async () => {
-      const key = await issueKey();
+      const key = await KeyUse.issueKey(fleet);
       const issuer = fleet.getInstance("north-1-a");
       const headers = { "anvilroute-key": key };
       const order = await journal.createOrder(issuer, "/bookings", { headers });
       expect((await journal.send(issuer, order)).status).toBe(200);
-      const kept = fleet.getRunning().map((one) => keepSending(one, key));
+      const kept = fleet.getRunning().map((one) =>
+        KeyUse.keepSending(one, key)
+      );
       // 48 slots at 900 ms each: what comes beyond them waits in the queue.
       const queued = Array.from(
         { length: 130 },
@@ -302,7 +208,7 @@
       );
       const startedMs = performance.now();
       const [tool] = await Promise.all([
-        withdraw(key),
+        KeyUse.withdraw(fleet, key),
         expectRefusedEverywhere(key, startedMs, fleet.getRunning()),
       ]);
       expect([tool.code, tool.stdout + tool.stderr]).toEqual([0, tool.stdout]);
@@ -333,14 +239,14 @@
     });
 
     it("by push while the store is down and one instance is frozen", async () => {
-      const key = await issueKey();
+      const key = await KeyUse.issueKey(fleet);
       const frozen = fleet.getInstance("south-1-a");
       const others = fleet.getRunning().filter((one) => one !== frozen);
       await fleet.platform.setFaults({ availability: "refuse" });
       frozen.process.freeze();
       const startedMs = performance.now();
       const [tool] = await Promise.all([
-        withdraw(key),
+        KeyUse.withdraw(fleet, key),
         expectRefusedEverywhere(key, startedMs, others),
       ]);
       expect(tool.code, tool.stdout + tool.stderr).toBe(6);
@@ -357,12 +263,12 @@
     });
 
     it("while a domain is cut off, which then serves no key at all", async () => {
-      const key = await issueKey();
+      const key = await KeyUse.issueKey(fleet);
       const alone = fleet.getInstance("north-2-a");
       await fleet.network.isolate("north-2");
       const startedMs = performance.now();
       await Promise.all([
-        withdraw(key),
+        KeyUse.withdraw(fleet, key),
         expectRefusedEverywhere(key, startedMs, fleet.getRunning()),
       ]);
       expect((await sendWith(alone, key)).code).toBe(104);
--- a/tests/proofs/once_test.ts
+++ b/tests/proofs/once_test.ts
@@ -1,7 +1,7 @@
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
-import * as Clock from "../../src/clock.ts";
 import type * as Fleet from "../../testing/fleet/fleet.ts";
 import * as Proof from "../../testing/fleet/proof.ts";
+import * as Storm from "../../testing/fleet/storm.ts";
 import type * as Requests from "../../testing/fleet/requests.ts";
 import * as Wait from "../../testing/harness/wait.ts";
 import * as Random from "../../testing/load/random.ts";
@@ -327,26 +327,7 @@
         if (one === undefined) throw new Error("nothing to pick from");
         return one;
       };
-      const faults: readonly (readonly [string, () => Promise<unknown>])[] = [
-        ["late", () => fleet.setTargetFaults({ lateMs: 400 })],
-        [
-          "reset",
-          () => fleet.setTargetFaults({ resetAfterExecuting: true }),
-        ],
-        ["truncated", () => fleet.setTargetFaults({ truncateAfterBytes: 30 })],
-        [
-          "store down",
-          () => fleet.platform.setFaults({ availability: "refuse" }),
-        ],
-        ["cut", () => fleet.network.cut("north-1", "south-1")],
-        ["cut off", () => fleet.network.isolate("north-2")],
-        ["frozen", async () => {
-          const victim = pick(fleet.getRunning());
-          victim.process.freeze();
-          await Clock.sleep(700);
-          victim.process.resume();
-        }],
-      ];
+      const faults = Storm.getFaults(fleet, pick);
       for (let round = 0; round < STORM_ROUNDS; round++) {
         const orders = await Promise.all(
           Array.from(
