--- a/testing/fleet/bad_values.ts
+++ b/testing/fleet/bad_values.ts
@@ -18,6 +18,10 @@
   [`${hello({ nonce: "short" })}\n`],
   [`${hello({ identity: { id: 7 } })}\n`],
   [`${hello({})}\n{"proof":"${"0".repeat(64)}"}\n`],
+  [
+    `${hello({})}\n{"proof":"${"0".repeat(64)}"}\n`,
+    '{"jsonrpc":"2.0","id":1,"method":"members.list","params":{}}\n',
+  ],
   [
     `${hello({})}\n`,
     '{"jsonrpc":"2.0","id":1,"method":"config.push","params":{}}\n',
--- a/testing/fleet/requests.ts
+++ b/testing/fleet/requests.ts
@@ -136,7 +136,7 @@
 
 /** Creates a journal of a fleet's requests. */
 export function createJournal(fleet: Fleet.Fleet): Journal {
-  const agent = new Undici.Agent({ keepAliveTimeout: 2_000, connections: 64 });
+  const agent = new Undici.Agent({ keepAliveTimeout: 2_000, connections: 400 });
   const journal: Sent[] = [];
   const snapshots = new Map<string, readonly Records.ExecutionRecord[]>();
 
