Bound the ledger by its bytes

Change: a new ticket is refused as not run when its entry does not fit, and answers use at most three quarters, so that they can't crowd out new orders.

--- a/src/once/ledger.ts
+++ b/src/once/ledger.ts
@@ -4,9 +4,9 @@
  * to run at most once at a time, and never again once it ran or may have run.
  * Lost with the process: resends then get `unknown`, and nothing runs twice.
  *
- * Bounds: at `maxEntries` new tickets are refused as not run; at `maxBytes`
- * answers are no longer kept, and a resend learns only that the request ran.
- * No entry is dropped before its ticket expires.
+ * Bounds: at `maxEntries` or `maxBytes` new tickets are refused as not run; at
+ * three quarters of `maxBytes` answers are no longer kept, and a resend learns
+ * only that the request ran. No entry is dropped before its ticket expires.
  */
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
@@ -16,6 +16,8 @@
 /** Larger answers are not kept, so that a few of them can't use up the ledger. */
 const MAX_ANSWER_BYTES = 16 * 1024;
 const ENTRY_OVERHEAD_BYTES = 400;
+/** Kept answers leave room for entries: a resend can do without an answer, a new order not without an entry. */
+const ANSWERS_SHARE = 0.75;
 
 /** State of a used ticket, JSON-safe for the hand-over. */
 export type EntryState =
@@ -100,8 +102,9 @@
     answer: Contracts.StoredAnswer | undefined,
   ): Contracts.StoredAnswer | undefined {
     const size = answer?.body.byteLength ?? 0;
-    const fits = size <= MAX_ANSWER_BYTES && bytes + size <= opts.maxBytes;
-    return fits ? answer : undefined;
+    const isSmall = size <= MAX_ANSWER_BYTES;
+    const hasRoom = bytes + size <= opts.maxBytes * ANSWERS_SHARE;
+    return isSmall && hasRoom ? answer : undefined;
   }
 
   function createRun(entry: MutableEntry): Contracts.ClaimedRun {
@@ -140,7 +143,9 @@
     // Without a record an expired ticket may have run and been forgotten.
     if (ticket.isExpired || isTransferred) return { kind: "unknown" };
     if (isSealed) return refuse("leaving");
-    if (entries.size >= opts.maxEntries) return refuse("ledgerFull");
+    const isFull = entries.size >= opts.maxEntries ||
+      bytes + ENTRY_OVERHEAD_BYTES > opts.maxBytes;
+    if (isFull) return refuse("ledgerFull");
     const entry = put({
       ticketId: ticket.id,
       fingerprint,
