Send lists only when they changed, list members by domain, retry what was shed

Change: an instance asks one peer and gets the list only when its digest differs; member keys carry the domain; an answer names at most 8 instances of the own domain, 8 of the region and 8 of the others. Reads whose target broke are still repeated once.

--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -26,7 +26,17 @@
   | { readonly kind: "not-run"; readonly refusal: Respond.Refusal }
   | { readonly kind: "broke" };
 
-const MAX_ATTEMPTS = 2;
+/** An attempt's end after which another one may follow. */
+type Retriable = Extract<Attempt, { kind: "not-run" | "broke" }>;
+
+/** A read whose target broke is repeated once. */
+const MAX_BROKEN = 1;
+/**
+ * Targets that refused without running are no risk to repeat: with one further
+ * target only, requests inside their account's rate were refused when two
+ * targets in a row shed load.
+ */
+const MAX_ATTEMPTS = 4;
 const STATUS_SHED = 503;
 /** An answer from this status on is no proof that the request does no harm. */
 const STATUS_SERVER_ERROR = 500;
@@ -39,31 +49,63 @@
   signal: AbortSignal,
 ): Promise<RunResult> {
   const exclude = new Set<string>();
-  let mayHaveRun = false;
+  let broken = 0;
   deps.retries.countRequest(ctx.route.service);
   for (let attempt = 1;; attempt++) {
     const placed = await Place.place(deps, ctx, exclude);
-    if (placed.isErr()) return getPlaceFailure(placed.error, mayHaveRun);
+    if (placed.isErr()) return getPlaceFailure(placed.error, broken > 0);
     const placement = placed.value;
     const blocked = recheck(deps, ctx);
     if (blocked !== undefined) {
       Place.abandon(deps, ctx, placement);
-      return getPlaceFailure(blocked, mayHaveRun);
+      return getPlaceFailure(blocked, broken > 0);
     }
     const ended = await runOnce(deps, ctx, placement, sink, signal);
     if (ended.kind !== "not-run" && ended.kind !== "broke") return ended;
     exclude.add(placement.slot.target.id);
-    mayHaveRun ||= ended.kind === "broke";
-    if (ended.kind === "broke") Account.markSpent(ctx);
-    const mayRetry = ctx.body.kind !== "stream" && attempt < MAX_ATTEMPTS &&
-      !signal.aborted &&
-      (ended.kind === "not-run" || Context.isRead(ctx.method)) &&
+    if (ended.kind === "broke") {
+      broken++;
+      Account.markSpent(ctx);
+    }
+    const mayRetry = attempt < MAX_ATTEMPTS && !signal.aborted &&
+      isRepeatable(ctx, ended, broken) &&
+      hasOther(deps, ctx, broken, exclude) &&
       deps.retries.tryRetry(ctx.route.service);
-    if (!mayRetry) return getFinalResult(ended, mayHaveRun);
+    if (!mayRetry) return getFinalResult(ended, broken > 0);
     deps.metrics.count("retries_total");
   }
 }
 
+function isRepeatable(
+  ctx: Context.Context,
+  ended: Retriable,
+  broken: number,
+): boolean {
+  if (ctx.body.kind === "stream") return false;
+  if (ended.kind === "not-run") return true;
+  return Context.isRead(ctx.method) && broken <= MAX_BROKEN;
+}
+
+/**
+ * True when a further attempt has a target. Targets that refused may be asked
+ * again once all of them have; one that broke is not.
+ */
+function hasOther(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  broken: number,
+  exclude: Set<string>,
+): boolean {
+  const isOther = deps.targets.list().some((one) =>
+    one.service === ctx.route.service && !exclude.has(one.id) &&
+    (one.state === "usable" || one.state === "cold")
+  );
+  if (isOther) return true;
+  if (broken > 0) return false;
+  exclude.clear();
+  return true;
+}
+
 /** After a broken first attempt, a second one that finds no place is not proof that nothing ran. */
 function getPlaceFailure(
   refusal: Respond.Refusal,
@@ -74,7 +116,7 @@
 }
 
 function getFinalResult(
-  ended: Extract<Attempt, { kind: "not-run" | "broke" }>,
+  ended: Retriable,
   mayHaveRun: boolean,
 ): RunResult {
   return ended.kind === "not-run"
--- a/src/budget/lease.ts
+++ b/src/budget/lease.ts
@@ -148,7 +148,7 @@
 
   /** Grants a lease and writes the member record; never over another incarnation's living one. */
   async function register(): Promise<Result<void, ResultCodes.Failure>> {
-    const key = `members/${deps.self}`;
+    const key = Messages.getMemberPrefix(deps.domain) + deps.self;
     const existing = await health.track(platform.get(key));
     if (existing.isErr()) return existing;
     const old = existing.value;
--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -14,7 +14,12 @@
   borrow: "budget.borrow",
 } as const;
 
-/** Store record `members/<instance>`, attached to the instance's lease. */
+/** Prefix of a domain's member records: an instance lists its own domain only. */
+export function getMemberPrefix(domain: Types.Domain): string {
+  return `members/${domain}/`;
+}
+
+/** Store record `members/<domain>/<instance>`, attached to the instance's lease. */
 export interface MemberRecord {
   readonly incarnation: string;
   readonly domain: Types.Domain;
--- a/src/budget/relay.ts
+++ b/src/budget/relay.ts
@@ -54,12 +54,12 @@
 ): void {
   peers.handle(
     Messages.METHODS.relay,
-    async (params, from): Promise<Messages.RelayAnswer> => {
+    async (params): Promise<Messages.RelayAnswer> => {
       const req = Messages.tryReadRelay(params);
       if (req === undefined) throw new Error("malformed lease.relay");
       if (req.leaseId === "") {
         // Without a lease the peer asks only whether the store is reached.
-        const probe = await health.track(platform.get(`members/${from}`));
+        const probe = await health.track(platform.get("table"));
         return { kind: probe.isOk() ? "lapsed" : "unreachable" };
       }
       const result = await health.track(platform.renewLease(req.leaseId));
--- a/src/budget/shard_store.ts
+++ b/src/budget/shard_store.ts
@@ -80,13 +80,14 @@
       return entries;
     },
     async listMembers() {
-      const listed = await health.track(platform.list("members/"));
+      const prefix = Messages.getMemberPrefix(domain);
+      const listed = await health.track(platform.list(prefix));
       if (listed.isErr()) return false;
       const found = new Map<Types.InstanceId, string>();
       for (const { key, value } of listed.value) {
         const record = Messages.tryReadMember(value);
         if (record?.domain !== domain) continue;
-        found.set(key.slice("members/".length), record.incarnation);
+        found.set(key.slice(prefix.length), record.incarnation);
       }
       members = found;
       return true;
--- a/src/daemon/directory.ts
+++ b/src/daemon/directory.ts
@@ -2,6 +2,7 @@
  * Feeds the target directory. Two instances of a domain read the platform's
  * list; the others, and those cut off from the platform, take it from a peer.
  */
+import * as Crypto from "node:crypto";
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
 import * as Rendezvous from "../rendezvous.ts";
@@ -17,7 +18,9 @@
 
 interface PeerList {
   readonly ageMs: number;
-  readonly instances: readonly Types.PlatformInstance[];
+  readonly digest: string;
+  /** Left out when the asking peer has the same list. */
+  readonly instances?: readonly Types.PlatformInstance[];
 }
 
 /** What the directory needs. */
@@ -34,11 +37,13 @@
 export async function startDirectory(opts: DirectoryOptions): Promise<void> {
   const { platform, peers, targets, clock } = opts;
   let list: readonly Types.PlatformInstance[] = [];
+  let digest = "";
   let listAtMs = -Infinity;
 
   function take(instances: readonly Types.PlatformInstance[], atMs: number) {
     if (atMs <= listAtMs) return;
     list = instances;
+    digest = getDigest(instances);
     listAtMs = atMs;
     targets.setInstances(instances);
   }
@@ -59,23 +64,36 @@
     return true;
   }
 
+  /** Peers that read the platform come first, the own domain's before others. */
   function getAskedPeers(): readonly Types.InstanceId[] {
-    const reachable = peers.getMembers().filter((one) => one.isReachable);
-    const near = (one: Types.Member) => one.heartbeat.domain === opts.domain;
-    return reachable.toSorted((a, b) => Number(near(b)) - Number(near(a)))
-      .slice(0, PEERS_ASKED).map((one) => one.heartbeat.id);
+    const reachable = peers.getMembers().filter((one) => one.isReachable)
+      .map((one) => one.heartbeat);
+    const near = reachable.filter((one) => one.domain === opts.domain)
+      .map((one) => one.id);
+    const far = reachable.filter((one) => one.domain !== opts.domain)
+      .map((one) => one.id);
+    return [
+      ...Rendezvous.rank("instance-list", near),
+      ...Rendezvous.rank(`instance-list/${peers.self}`, far),
+    ].slice(0, PEERS_ASKED);
   }
 
-  async function readPeers(): Promise<void> {
+  async function tryReadPeer(id: Types.InstanceId): Promise<boolean> {
     const askedAtMs = clock.nowMs();
-    const replies = await Promise.all(
-      getAskedPeers().map((id) =>
-        peers.call<PeerList>(id, "targets.list", {}, PEER_TIMEOUT_MS)
-      ),
+    const reply = await peers.call<PeerList>(
+      id,
+      "targets.list",
+      { digest },
+      PEER_TIMEOUT_MS,
     );
-    for (const reply of replies) {
-      if (reply.isErr() || reply.value.ageMs > MAX_LIST_AGE_MS) continue;
-      take(reply.value.instances, askedAtMs - reply.value.ageMs);
+    if (reply.isErr() || reply.value.ageMs > MAX_LIST_AGE_MS) return false;
+    take(reply.value.instances ?? list, askedAtMs - reply.value.ageMs);
+    return true;
+  }
+
+  async function readPeers(): Promise<void> {
+    for (const id of getAskedPeers()) {
+      if (await tryReadPeer(id)) return;
     }
   }
 
@@ -84,9 +102,17 @@
     await readPeers();
   }
 
-  peers.handle("targets.list", (): PeerList => {
-    return { ageMs: clock.nowMs() - listAtMs, instances: list };
+  peers.handle("targets.list", (params): PeerList => {
+    const ageMs = clock.nowMs() - listAtMs;
+    const isSame = (params as { digest?: unknown } | null)?.digest === digest;
+    return isSame ? { ageMs, digest } : { ageMs, digest, instances: list };
   });
   await refresh();
   opts.supervisor.every("target-list", POLL_INTERVAL_MS, refresh);
 }
+
+/** Lets peers compare lists without sending them. */
+function getDigest(instances: readonly Types.PlatformInstance[]): string {
+  return Crypto.createHash("sha256").update(JSON.stringify(instances))
+    .digest("base64url");
+}
--- a/src/lookup/order.ts
+++ b/src/lookup/order.ts
@@ -24,6 +24,8 @@
   readonly getHeldRate: (candidate: Types.Heartbeat) => number;
 }
 
+/** A domain's budget of an account lies on at most 8 shards, so on 8 instances. */
+const MAX_PER_GROUP = 8;
 const MAX_WEIGHT = 100;
 /** An instance without budget can still borrow; it stays a last choice of its group. */
 const MIN_WEIGHT = 1;
@@ -40,6 +42,22 @@
   return input.getHeldRate(candidate) * spare;
 }
 
+interface Scored {
+  readonly candidate: Types.Heartbeat;
+  readonly group: number;
+  readonly score: number;
+}
+
+/** The best of each group, so that an answer stays small in a large fleet. */
+function limitGroups(scored: readonly Scored[]): readonly Scored[] {
+  const counts = new Map<number, number>();
+  return scored.filter(({ group }) => {
+    const count = (counts.get(group) ?? 0) + 1;
+    counts.set(group, count);
+    return count <= MAX_PER_GROUP;
+  });
+}
+
 /** Instances in the order to use them; leaving ones are left out. */
 export function orderInstances(input: OrderInput): readonly LookupInstance[] {
   const live = input.candidates.filter((one) => one.state === "live");
@@ -53,7 +71,8 @@
     a.group - b.group || b.score - a.score ||
     (a.candidate.id < b.candidate.id ? -1 : 1)
   );
-  return scored.map(({ candidate, score }) => ({
+  const chosen = limitGroups(scored);
+  return chosen.map(({ candidate, score }) => ({
     id: candidate.id,
     address: candidate.callerAddress,
     weight: Math.max(MIN_WEIGHT, Math.round(MAX_WEIGHT * score / top)),
--- a/testing/fleet/bad_values.ts
+++ b/testing/fleet/bad_values.ts
@@ -91,7 +91,7 @@
       JSON.stringify({ writeId: "w", accounts: {}, withdrawn: ["x"] }),
     ],
     ["shards/north-1/0", '{"owner":7}'],
-    ["members/ghost", "{"],
+    ["members/north-1/ghost", "{"],
   ];
 }
 
--- a/tests/shards_test.ts
+++ b/tests/shards_test.ts
@@ -484,7 +484,11 @@
     await fleet.start("a1", "a2");
     fleet.cutBothWays("a1", "store");
     fleet.cutBothWays("a1", "a2");
-    while (fleet.records.has("members/a1")) {
+    while (
+      [...fleet.records.keys()].some((key) =>
+        key.startsWith("members/") && key.endsWith("/a1")
+      )
+    ) {
       await fleet.time.advance(50);
     }
     fleet.heal();
