--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -35,6 +35,7 @@
 import type * as Types from "../types.ts";
 import * as Directory from "./directory.ts";
 import * as HeartbeatState from "./heartbeat.ts";
+import * as QueueWake from "./queue_wake.ts";
 import * as Rpc from "./rpc.ts";
 import * as Servers from "./servers.ts";
 
@@ -140,11 +141,13 @@
   });
   const metrics = Metrics.createMetrics({ clock, instance: self });
   const serviceTimes = HeartbeatState.createServiceTimes();
-  const queue = FairQueue.createFairQueue<Place.Placement>({
-    clock,
-    maxPerAccount: MAX_WAITING_PER_ACCOUNT,
-    getServiceTimeMs: serviceTimes.getMeanMs,
-  });
+  const queue = QueueWake.createWakingQueue(
+    FairQueue.createFairQueue<Place.Placement>({
+      clock,
+      maxPerAccount: MAX_WAITING_PER_ACCOUNT,
+      getServiceTimeMs: serviceTimes.getMeanMs,
+    }),
+  );
   const ledger = Handover.createLedger({
     maxEntries: cfg.limits.ledgerEntries,
     maxBytes: cfg.limits.ledgerBytes,
@@ -227,7 +230,6 @@
   });
   targets.start();
   root.every("ledger-sweep", ledger.sweepIntervalMs, ledger.sweep);
-  root.every("queue-wake", 10, () => wakeQueues(config, queue));
 
   const ready = start();
 
@@ -308,12 +310,3 @@
     0,
   );
 }
-
-function wakeQueues(
-  config: Contracts.ConfigStore,
-  queue: Contracts.FairQueue<Place.Placement>,
-): void {
-  for (const service of config.getTable()?.services.keys() ?? []) {
-    if (queue.getLength(service) > 0) queue.wake(service);
-  }
-}
