Allow for stalls of the test's event loop in the proofs of limits

Windows at the targets are widened by the longest stall that the test's own event loop measured, because all connections of the test network go through it.

--- a/testing/fleet/traffic.ts
+++ b/testing/fleet/traffic.ts
@@ -2,6 +2,7 @@
 import type * as Plan from "../load/plan.ts";
 import * as Load from "../load/load.ts";
 import * as Random from "../load/random.ts";
+import * as Wait from "../harness/wait.ts";
 import type * as Fleet from "./fleet.ts";
 
 /** One account's load, spread evenly over the instances. */
@@ -113,6 +114,19 @@
   };
 }
 
+/** Waits until `count` more answers came. */
+export async function waitForAnswers(
+  traffic: Traffic,
+  count: number,
+): Promise<void> {
+  const before = traffic.received.length;
+  await Wait.waitFor(
+    () => traffic.received.length >= before + count,
+    15_000,
+    `${count} answers`,
+  );
+}
+
 /** Number of answers by status and code, for messages. */
 export function countCodes(
   received: readonly Received[],
--- a/testing/fleet/windows.ts
+++ b/testing/fleet/windows.ts
@@ -2,6 +2,7 @@
  * Verdicts on limits, taken from what the targets recorded. Times are wall-clock
  * ms of one machine, so the records of all targets can be compared.
  */
+import * as PerfHooks from "node:perf_hooks";
 import type * as Fleet from "./fleet.ts";
 
 /** One execution that started at a target. */
@@ -136,3 +137,23 @@
     pct: count === 0 ? 0 : there / count * 100,
   }));
 }
+
+/**
+ * Longest stall of this process's event loop, in ms. All connections of the test
+ * network go through it, so requests that were admitted apart start together
+ * after a stall: a verdict on windows allows for it.
+ */
+export interface StallMeter {
+  reset(): void;
+  getMaxMs(): number;
+}
+
+/** Starts to measure. */
+export function createStallMeter(): StallMeter {
+  const delays = PerfHooks.monitorEventLoopDelay({ resolution: 10 });
+  delays.enable();
+  return {
+    reset: () => delays.reset(),
+    getMaxMs: () => Math.max(0, delays.max / 1e6 - 10),
+  };
+}
