--- a/tests/proofs/limits_test.ts
+++ b/tests/proofs/limits_test.ts
@@ -168,7 +168,7 @@
   it("holds when a holder is frozen past its lease with the store slow, and goes on after its shards are taken over", async () => {
     await fleet.platform.setFaults({ slowMs: 50 });
     const frozen = getInstance("north-1-a");
-    const traffic = startLoad("frozen", 9_000);
+    const traffic = startLoad("frozen", 14_000);
     await Traffic.waitForAnswers(traffic, 350);
     frozen.process.freeze();
     await waitForHolders((holder) => holder !== frozen.id);
