Give each exchange with a target a connection of its own

Cause: reads reused connections. Ruled out: several requests on one connection at a time (pipelining is off). Latency is a measure, the caller's own answer is a promise.

--- a/src/admission/context.ts
+++ b/src/admission/context.ts
@@ -84,7 +84,7 @@
   readonly signal: AbortSignal;
 }
 
-/** True for methods that may be repeated and may share connections. */
+/** True for methods that may be repeated. */
 export function isRead(method: string): boolean {
   return method === "GET" || method === "HEAD";
 }
--- a/src/admission/once.ts
+++ b/src/admission/once.ts
@@ -313,7 +313,6 @@
         ["anvilroute-deadline-ms", String(remainingMs)],
       ],
       body: ctx.body,
-      isRead: false,
     },
     sink,
     ctx.signal,
--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -172,7 +172,6 @@
       path: ctx.route.path + ctx.route.query,
       headers: getTargetHeaders(deps, ctx, address),
       body: ctx.body,
-      isRead: Context.isRead(ctx.method),
     },
     sink,
     signal,
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -1,9 +1,9 @@
 /**
  * One exchange with a target over HTTP/1.1. Promise: the caller gets the whole
- * answer to its own request or learns that it did not. A connection carries one
- * exchange at a time; one with an unfinished or cancelled exchange is
- * destroyed. Only reads reuse connections: on a reused one the target may close
- * just as the request leaves, and then nobody knows whether it ran.
+ * answer to its own request or learns that it did not. Each exchange has a
+ * connection of its own: on a reused one the target may close just as the next
+ * request leaves, and then nobody knows whether it ran, or an answer that nobody
+ * asked for is taken for the next request's own.
  */
 import * as Undici from "undici";
 import type * as Contracts from "../contracts.ts";
@@ -11,7 +11,6 @@
 import * as Headers from "./headers.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
-const KEEP_ALIVE_MS = 4_000;
 /** Bound of an answer's part that waits when its sender can't be held back. */
 const MAX_WAITING_BYTES = 8 * 1024 * 1024;
 
@@ -23,8 +22,6 @@
   readonly path: string;
   readonly headers: Headers.HeaderPairs;
   readonly body: Body.RequestBody;
-  /** Safe methods may reuse a connection. */
-  readonly isRead: boolean;
 }
 
 /** Where a long answer goes while it arrives. */
@@ -90,12 +87,6 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   };
-  const reusing = new Undici.Agent({
-    ...common,
-    pipelining: 1,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    keepAliveMaxTimeout: KEEP_ALIVE_MS,
-  });
   const singles = new Set<Undici.Client>();
 
   /**
@@ -119,7 +110,7 @@
     signal: AbortSignal,
     throttle?: (bytes: number) => Promise<void>,
   ): Promise<ExchangeResult> {
-    const single = req.isRead ? undefined : createSingle(req.address);
+    const single = createSingle(req.address);
     return new Promise((resolve) => {
       const state = {
         req,
@@ -127,19 +118,18 @@
         bufferBytes: opts.bufferBytes,
         throttle,
         resolve(result: ExchangeResult) {
-          if (single !== undefined) endSingle(single);
+          endSingle(single);
           resolve(result);
         },
       };
-      dispatch(single ?? reusing, state, signal);
+      dispatch(single, state, signal);
     });
   }
 
   return {
     exchange,
     async close() {
-      const all = [reusing, ...singles];
-      await Promise.all(all.map((one) => one.destroy()));
+      await Promise.all([...singles].map((one) => one.destroy()));
     },
   };
 }
