--- a/testing/fleet/network.ts
+++ b/testing/fleet/network.ts
@@ -4,9 +4,13 @@
  * domains can be cut off from each other while the rest goes on.
  */
 import * as Net from "node:net";
+import * as Clock from "../../src/clock.ts";
 import type * as Types from "../../src/types.ts";
 import * as Faults from "../fault_proxy/faults.ts";
 import * as Proxy from "../fault_proxy/proxy.ts";
+import * as Listener from "../listener.ts";
+
+const TARGET_PROBE_INTERVAL_MS = 50;
 
 /** Name of everything that has no domain of its own, such as the test's callers. */
 export const CALLERS = "callers";
@@ -63,6 +67,7 @@
   const faults = new Map<string, Partial<Faults.DirectionFaults>>();
   const links: Link[] = [];
   const servers: Net.Server[] = [];
+  let isClosed = false;
 
   function getSource(socket: Net.Socket): string {
     const found = [...ips].find(([, ip]) => ip === socket.remoteAddress);
@@ -102,6 +107,7 @@
   ): Promise<Endpoint> {
     const bySource = new Map<string, Promise<Link>>();
     let target: Types.Address | undefined;
+    let isMirroring = false;
 
     async function openLink(from: string): Promise<Link> {
       const opts = target === undefined ? {} : { target };
@@ -112,6 +118,18 @@
       return link;
     }
 
+    /** A dead target refuses connections, and callers have to see that here, too. */
+    async function mirrorRefusal(): Promise<void> {
+      if (isMirroring || target === undefined) return;
+      isMirroring = true;
+      await listener.setOpen(false);
+      while (!isClosed && !await canConnect(target)) {
+        await Clock.sleep(TARGET_PROBE_INTERVAL_MS);
+      }
+      isMirroring = false;
+      if (!isClosed) await listener.setOpen(true);
+    }
+
     async function forward(client: Net.Socket): Promise<void> {
       client.on("error", () => {});
       const from = source ?? getSource(client);
@@ -124,6 +142,9 @@
         port: Number(port),
         allowHalfOpen: true,
       });
+      onward.on("error", (err: NodeJS.ErrnoException) => {
+        if (err.code === "ECONNREFUSED") void mirrorRefusal();
+      });
       onward.setNoDelay(true);
       client.setNoDelay(true);
       if (tap !== undefined) {
@@ -139,12 +160,9 @@
       (client) => void forward(client),
     );
     servers.push(server);
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve)
-    );
-    const { port } = server.address() as Net.AddressInfo;
+    const listener = await Listener.createListener(server, "127.0.0.1:0");
     return {
-      address: `127.0.0.1:${port}`,
+      address: listener.address,
       setTarget(next) {
         target = next;
         for (const link of bySource.values()) {
@@ -181,12 +199,26 @@
       await applyAll();
     },
     async close() {
+      isClosed = true;
       for (const server of servers) server.close();
       await Promise.all(links.map(({ proxy }) => proxy.stop()));
     },
   };
 }
 
+function canConnect(address: Types.Address): Promise<boolean> {
+  const [host = "", port = ""] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = Net.connect({ host, port: Number(port) });
+    const settle = (isOpen: boolean) => () => {
+      socket.destroy();
+      resolve(isOpen);
+    };
+    socket.once("connect", settle(true));
+    socket.once("error", settle(false));
+  });
+}
+
 /** Joins two sockets; an error or reset of one destroys the other. */
 function join(a: Net.Socket, b: Net.Socket): void {
   for (const [from, to] of [[a, b], [b, a]] as const) {
