Pay links in pieces that an instance's own burst can hold

Cause: pieces were up to 16 KB while an instance that shares a domain's link with another one had a burst of 3,125 bytes, so it could never pay for an answer of 4,000 bytes and refused with code 122 while half the link was free. Ruled out: shards not held (all 16 of the north were). Change: a piece is at most half of the own burst. Before: shift_test fails, 60,000 of 125,000 bytes in the best second, also alone.

--- a/src/forward/link.ts
+++ b/src/forward/link.ts
@@ -12,6 +12,7 @@
 
 /** Pieces are small against a second's budget, so that answers share the link. */
 const PIECE_BYTES = 16 * 1024;
+const MIN_PIECE_BYTES = 256;
 /** Request line and headers, for the account of a request. */
 const HEADER_BYTES = 1_024;
 /** Weight of the newest answer in the mean. */
@@ -64,14 +65,22 @@
   let prepaid = 0;
   let answered = 0;
 
+  /** A piece above the own burst could never be paid without a loan. */
+  function getPieceBytes(key: Contracts.BudgetKey): number {
+    const half = Math.floor(budgets.getHolding(key).burst / 2);
+    return Math.max(MIN_PIECE_BYTES, Math.min(PIECE_BYTES, half));
+  }
+
   async function pay(
     key: string,
     bytes: number,
     getWaitMs: () => number,
     onPaid: (piece: number) => void = () => {},
   ): Promise<boolean> {
-    for (let left = bytes; left > 0; left -= PIECE_BYTES) {
-      const piece = Math.min(left, PIECE_BYTES);
+    let left = bytes;
+    while (left > 0) {
+      const piece = Math.min(left, getPieceBytes(key));
+      left -= piece;
       const isTaken = budgets.tryTake(key, piece) ||
         (await budgets.take(key, piece, getWaitMs())).isOk();
       if (!isTaken) return false;
