--- a/tests/budget_fakes.ts
+++ b/testing/fakes/budget_fleet.ts
@@ -4,13 +4,13 @@
  * and paused. Everything random comes from one seed.
  */
 import { Ok, type Result } from "ts-results-es";
-import * as Budgets from "../src/budget/budgets.ts";
-import type * as Contracts from "../src/contracts.ts";
-import * as Log from "../src/log.ts";
-import * as Dial from "../src/peer/dial.ts";
-import * as ResultCodes from "../src/result_codes.ts";
-import type * as Supervisor from "../src/supervisor.ts";
-import type * as Types from "../src/types.ts";
+import * as Budgets from "../../src/budget/budgets.ts";
+import type * as Contracts from "../../src/contracts.ts";
+import * as Log from "../../src/log.ts";
+import * as Dial from "../../src/peer/dial.ts";
+import * as ResultCodes from "../../src/result_codes.ts";
+import type * as Supervisor from "../../src/supervisor.ts";
+import type * as Types from "../../src/types.ts";
 
 type Failure = ResultCodes.Failure;
 const NEVER = new Promise<never>(() => {});
--- a/tests/config_helpers.ts
+++ b/testing/fakes/config_net.ts
@@ -1,13 +1,13 @@
 /** Instances with the configuration modules over a store in memory. */
 import { Ok } from "ts-results-es";
-import * as Clock from "../src/clock.ts";
-import * as ConfigStore from "../src/config/config_store.ts";
-import * as Freshness from "../src/config/freshness.ts";
-import type * as Contracts from "../src/contracts.ts";
-import * as Keys from "../src/keys/keys.ts";
-import * as ResultCodes from "../src/result_codes.ts";
-import type * as Types from "../src/types.ts";
-import * as Helpers from "./peer_helpers.ts";
+import * as Clock from "../../src/clock.ts";
+import * as ConfigStore from "../../src/config/config_store.ts";
+import * as Freshness from "../../src/config/freshness.ts";
+import type * as Contracts from "../../src/contracts.ts";
+import * as Keys from "../../src/keys/keys.ts";
+import * as ResultCodes from "../../src/result_codes.ts";
+import type * as Types from "../../src/types.ts";
+import * as Helpers from "./peer_net.ts";
 
 /** The store's records; versions count up per key. */
 export interface FakeStore {
--- a/tests/peer_helpers.ts
+++ b/testing/fakes/peer_net.ts
@@ -1,10 +1,10 @@
 /** Peer nets in one process, and a link between them that can be frozen. */
 import * as NodeNet from "node:net";
-import * as Clock from "../src/clock.ts";
-import * as Log from "../src/log.ts";
-import * as Net from "../src/peer/net.ts";
-import * as Supervisor from "../src/supervisor.ts";
-import type * as Types from "../src/types.ts";
+import * as Clock from "../../src/clock.ts";
+import * as Log from "../../src/log.ts";
+import * as Net from "../../src/peer/net.ts";
+import * as Supervisor from "../../src/supervisor.ts";
+import type * as Types from "../../src/types.ts";
 
 export const SECRET = "a-secret-for-the-tests";
 
--- a/tests/admission_test.ts
+++ b/tests/admission_test.ts
@@ -13,7 +13,7 @@
 } from "vitest";
 import * as Servers from "../src/daemon/servers.ts";
 import * as StandIn from "../testing/target/stand_in.ts";
-import * as Fakes from "./support/fakes.ts";
+import * as Fakes from "../testing/fakes/request_path.ts";
 
 interface Answer {
   readonly status: number;
--- a/tests/budget_test.ts
+++ b/tests/budget_test.ts
@@ -3,7 +3,7 @@
 import * as Bucket from "../src/budget/bucket.ts";
 import * as Division from "../src/budget/division.ts";
 import type * as Types from "../src/types.ts";
-import * as Fakes from "./budget_fakes.ts";
+import * as Fakes from "../testing/fakes/budget_fleet.ts";
 
 const SEED = Number(process.env.ANVILROUTE_SEED ?? Date.now() % 1e9);
 const QUIET: Fakes.Noise = { loss: 0, late: 0, twice: 0 };
--- a/tests/cli_test.ts
+++ b/tests/cli_test.ts
@@ -1,7 +1,7 @@
 import * as Fs from "node:fs";
 import { beforeEach, describe, expect, it } from "vitest";
 import * as Baseline from "./support/baseline.ts";
-import * as Fake from "./support/fake_fleet.ts";
+import * as Fake from "../testing/fakes/tool_fleet.ts";
 import * as KeyCommands from "../src/cli/key_commands.ts";
 import * as Metrics from "../src/metrics/metrics.ts";
 
--- a/tests/config_test.ts
+++ b/tests/config_test.ts
@@ -7,8 +7,8 @@
 import * as Keys from "../src/keys/keys.ts";
 import * as Client from "../src/peer/client.ts";
 import type * as Types from "../src/types.ts";
-import * as Fakes from "./config_helpers.ts";
-import * as Helpers from "./peer_helpers.ts";
+import * as Fakes from "../testing/fakes/config_net.ts";
+import * as Helpers from "../testing/fakes/peer_net.ts";
 
 const WAIT = { timeout: 15_000, interval: 20 };
 const cleanups: (() => unknown)[] = [];
--- a/tests/peer_test.ts
+++ b/tests/peer_test.ts
@@ -12,7 +12,7 @@
 import * as Wire from "../src/peer/wire.ts";
 import * as Rendezvous from "../src/rendezvous.ts";
 import type * as Types from "../src/types.ts";
-import * as Helpers from "./peer_helpers.ts";
+import * as Helpers from "../testing/fakes/peer_net.ts";
 
 const WAIT = { timeout: 15_000, interval: 20 };
 const cleanups: (() => unknown)[] = [];
--- a/tests/shards_test.ts
+++ b/tests/shards_test.ts
@@ -1,7 +1,7 @@
 import * as FastCheck from "fast-check";
 import { describe, expect, it } from "vitest";
 import type * as Types from "../src/types.ts";
-import * as Fakes from "./budget_fakes.ts";
+import * as Fakes from "../testing/fakes/budget_fleet.ts";
 
 const SEED = Number(process.env.ANVILROUTE_SEED ?? Date.now() % 1e9);
 const RUNS = Number(process.env.ANVILROUTE_RUNS ?? 40);
