Try another region when a link is used up, and wait for the mesh of a fleet

Cause 2: outage_test killed an instance 0.2 s after the start, before the survivor had heard of the other domains, so its refusal (code 104) was right. Change: starting a fleet waits until every instance names all others, for all proofs, benches and the demo.

--- a/src/admission/place.ts
+++ b/src/admission/place.ts
@@ -184,9 +184,11 @@
   deps: Context.Deps,
   ctx: Context.Context,
   exclude: ReadonlySet<string>,
+  avoided: ReadonlySet<Types.Region> = new Set(),
 ): Promise<Result<Placement, Respond.Refusal>> {
   const { service } = ctx.route;
-  const regions = getRegions(deps, service);
+  const regions = getRegions(deps, service)
+    .filter((region) => !avoided.has(region));
   if (regions.length === 0) return Err(Respond.refuse("noTarget", "not-run"));
   const token = await takeCap(deps, ctx, regions);
   if (token === undefined) {
@@ -211,24 +213,25 @@
     const unpaid = Account.tryRefuseUnpaid(deps, ctx);
     return Err(unpaid ?? { failure: found.error, outcome: "not-run" });
   }
-  return await payLink(deps, ctx, found.value);
+  const placement = found.value;
+  if (await payLink(deps, ctx, placement)) return Ok(placement);
+  abandon(deps, ctx, placement);
+  if (regions.length === 1) return Err(Respond.refuse("linkCap", "not-run"));
+  // Another region, often the own one, may still have room without that link.
+  const more = new Set([...avoided, placement.region]);
+  return await place(deps, ctx, exclude, more);
 }
 
 async function payLink(
   deps: Context.Deps,
   ctx: Context.Context,
   placement: Placement,
-): Promise<Result<Placement, Respond.Refusal>> {
+): Promise<boolean> {
   const { link } = placement;
   const remainingMs = Context.getRemainingMs(ctx, deps.clock);
-  const isPaid = link === undefined ||
-    await link.payRequest(
-      getBodyBytes(ctx),
-      Math.min(CAP_WAIT_MS, remainingMs),
-    );
-  if (isPaid) return Ok(placement);
-  abandon(deps, ctx, placement);
-  return Err(Respond.refuse("linkCap", "not-run"));
+  const waitMs = Math.min(CAP_WAIT_MS, remainingMs);
+  return link === undefined ||
+    await link.payRequest(getBodyBytes(ctx), waitMs);
 }
 
 /** Gives a place back unused. */
--- a/testing/fleet/fleet.ts
+++ b/testing/fleet/fleet.ts
@@ -292,7 +292,7 @@
   await Promise.all(
     rest.map((one) => startInstance(one.id, one.domain, one.region)),
   );
-  await waitForMesh(instances);
+  await waitForMesh(instances, layout.orderService);
 
   return {
     platform,
@@ -311,15 +311,25 @@
   };
 }
 
-/** Waits until every instance says that it is live. */
+/** Waits until every instance is live and names all others; before, a fault finds a fleet that is still forming. */
 async function waitForMesh(
   instances: readonly FleetInstance[],
+  service: string,
 ): Promise<void> {
   await Promise.all(instances.map((one) =>
     Wait.waitFor(
-      async () => (await fetch(`http://${one.probe}/healthz`)).status === 200,
+      async () => await countNamed(one, service) === instances.length,
       START_LIMIT_MS,
-      `${one.id} is live`,
+      `${one.id} names all instances`,
     )
   ));
 }
+
+async function countNamed(
+  instance: FleetInstance,
+  service: string,
+): Promise<number> {
+  const url = `http://${instance.caller}/v1/lookup?service=${service}`;
+  const body = await (await fetch(url)).json();
+  return (body as { readonly instances: readonly unknown[] }).instances.length;
+}
--- a/testing/fleet/proof.ts
+++ b/testing/fleet/proof.ts
@@ -50,23 +50,6 @@
   );
 }
 
-/** Waits until an instance names all others; before, it can't pass their orders on. */
-async function waitForMesh(
-  fleet: Fleet.Fleet,
-  instance: Fleet.FleetInstance,
-): Promise<void> {
-  const url = `http://${instance.caller}/v1/lookup?service=booking`;
-  await Wait.waitFor(
-    async () => {
-      const body = await (await fetch(url)).json();
-      const { instances = [] } = body as { instances?: readonly unknown[] };
-      return instances.length === fleet.instances.length;
-    },
-    SERVICE_LIMIT_MS,
-    `${instance.id} hears all instances`,
-  );
-}
-
 const NO_TARGET_FAULTS = {
   crashOn: null,
   crashMode: null,
@@ -112,7 +95,6 @@
     settings: { lookupMaxAgeMs: 500, ...opts.settings },
   });
   const journal = Requests.createJournal(fleet);
-  await Promise.all(fleet.instances.map((one) => waitForMesh(fleet, one)));
   const getRunning = () =>
     fleet.instances.filter((one) => one.process.isRunning());
   async function setTargetFaults(faults: unknown): Promise<void> {
