Name successors of a ledger as such, and restore the lower bound of the caps proof

The lower bound, which keeps caps from being met by refusing everything, had gone from 0.7 to 0.5 of the cap while the machine was overloaded.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -1,5 +1,5 @@
 /**
- * The request path, straight down: path, key, route, body, poison check,
+ * The request path, in this order: path, key, route, body, poison check,
  * ticket, account bucket, then a place and the exchange. Promise: a request
  * runs only for the account whose key came with it, within that account's
  * limit, and every refusal says truthfully whether it ran.
--- a/src/admission/once.ts
+++ b/src/admission/once.ts
@@ -163,7 +163,7 @@
   return first;
 }
 
-/** The request as the target sees it: a digest in place of the ticket, whose MAC is not the target's business. */
+/** The request as the target sees it: a digest in place of the ticket, so that no target can resend it. */
 function detach(
   ctx: Context.Context,
   ticket: VerifiedTicket,
--- a/src/drain/drain.ts
+++ b/src/drain/drain.ts
@@ -30,7 +30,7 @@
 }
 
 /** Peers that may adopt the ledger: the own domain first, then the own region. */
-function getHeirs(opts: DrainOptions): readonly Types.InstanceId[] {
+function getSuccessors(opts: DrainOptions): readonly Types.InstanceId[] {
   const live = opts.peers.getMembers()
     .filter((one) => one.isReachable && one.heartbeat.state === "live")
     .map((one) => one.heartbeat);
@@ -42,8 +42,8 @@
 }
 
 async function handOverLedger(opts: DrainOptions): Promise<void> {
-  for (const heir of getHeirs(opts).slice(0, 3)) {
-    const done = await opts.ledger.handOver(heir);
+  for (const successor of getSuccessors(opts).slice(0, 3)) {
+    const done = await opts.ledger.handOver(successor);
     if (done.isOk()) return;
   }
   opts.log.warn("ledger-not-handed-over", {
--- a/src/forward/respond.ts
+++ b/src/forward/respond.ts
@@ -6,7 +6,7 @@
 import type * as Exchange from "./exchange.ts";
 import type * as Headers from "./headers.ts";
 
-/** A refusal or an honest "unknown". */
+/** A refusal, or a response whose outcome is unknown. */
 export interface Refusal {
   readonly failure: ResultCodes.Failure;
   readonly outcome: Types.Outcome;
--- a/src/once/handover.ts
+++ b/src/once/handover.ts
@@ -14,8 +14,8 @@
 
 const ADOPT_TIMEOUT_MS = 3_000;
 /**
- * A heir that does not take a part in this time is given up, which is safe: it
- * owns nothing yet. Orders wait meanwhile, and two silent heirs must not use up
+ * A successor that does not take a part in this time is given up, which is safe: it
+ * owns nothing yet. Orders wait meanwhile, and two silent ones must not use up
  * their deadline.
  */
 const PART_TIMEOUT_MS = 1_000;
--- a/tests/proofs/caps_test.ts
+++ b/tests/proofs/caps_test.ts
@@ -98,7 +98,7 @@
     await expectWithin(CAP_RPS);
     const most = await getMaxStarts();
     // Caps that admit far too little would hide every excess.
-    expect(most["north"]).toBeGreaterThan(CAP_RPS * 0.5);
+    expect(most["north"]).toBeGreaterThan(CAP_RPS * 0.7);
   });
 
   it("holds when all slots were taken for seconds and become free together", async () => {
