Keep a lender's capacity above one token while it has callers of its own

A trace showed that a newcomer without shards borrowed 1 to 3 tokens of the cap of the south at a time, for 2 s each, until its lender had a capacity of 0.88 tokens. A bucket refills only up to its capacity, so the lender, with a rate of 64/s and a demand of 13/s, had no whole token until the loans ended and sent its own callers to the north for 2 s. Ruled out: the ramp itself (the shares of each instance follow the cap), the killed instance, the slow store. Change: a lender whose own callers will need a token within the loan's time keeps half of its burst, and one token at least, as capacity. The new test in budget_test: 46 of 60 requests refused before, 0 after.

--- a/src/budget/bucket.ts
+++ b/src/budget/bucket.ts
@@ -45,6 +45,8 @@
   /** Drops the level and keeps it at 0 until `untilMs`. */
   holdEmpty(untilMs: number, nowMs: number): void;
   getLevel(nowMs: number): number;
+  /** The burst less what is lent out: the level refills up to this. */
+  getCapacity(nowMs: number): number;
   getLimits(): Limits;
   /** Longest time between a take and its refund. */
   setHorizon(horizonMs: number): void;
@@ -233,6 +235,10 @@
       advance(nowMs);
       return level;
     },
+    getCapacity(nowMs) {
+      advance(nowMs);
+      return Math.max(0, burst - lent);
+    },
     getLimits: () => ({ rate, burst }),
     setHorizon(ms) {
       horizonMs = ms;
--- a/src/budget/lending.ts
+++ b/src/budget/lending.ts
@@ -14,6 +14,12 @@
 const RESERVE_S = 0.1;
 /** Above this part of its rate in use, a lender keeps a whole token. */
 const BUSY_FRACTION = 0.75;
+/**
+ * Part of its burst that a lender with callers of its own keeps as capacity.
+ * A bucket refills only up to its capacity: below one token its own callers
+ * are refused until the loan ends, however high its rate is.
+ */
+const KEPT_BURST_FRACTION = 0.5;
 
 /** What lending needs of its surroundings. */
 export interface LendingDeps {
@@ -36,7 +42,7 @@
     const now = clock.nowMs();
     const { rate } = state.bucket.getLimits();
     const spareRate = Math.max(0, rate - state.demand.getRate(now));
-    const free = state.bucket.getLevel(now) - getReserve(state, now);
+    const free = getLendable(state, req.loanMs, now);
     if (deps.hasWaiters(req.key) || free <= 0) return { ...nothing, spareRate };
     const granted = Math.min(free, req.want);
     const untilMs = now + Math.min(req.loanMs, Holdings.LOAN_MS);
@@ -53,6 +59,20 @@
   return () => lentTokens;
 }
 
+function getLendable(
+  state: Holdings.KeyState,
+  loanMs: number,
+  nowMs: number,
+): number {
+  const { bucket, demand } = state;
+  const free = bucket.getLevel(nowMs) - getReserve(state, nowMs);
+  const ownUse = demand.getRate(nowMs) * loanMs / 1_000;
+  // Until the loan ends the own callers will probably not need a token.
+  if (ownUse < 1) return free;
+  const kept = Math.max(1, bucket.getLimits().burst * KEPT_BURST_FRACTION);
+  return Math.min(free, bucket.getCapacity(nowMs) - kept);
+}
+
 /** What the own callers will probably need before the bucket refills. */
 function getReserve(state: Holdings.KeyState, nowMs: number): number {
   const demand = state.demand.getRate(nowMs);
--- a/tests/budget_test.ts
+++ b/tests/budget_test.ts
@@ -312,6 +312,22 @@
     expect(budgets.tryTake("acct/s/x", 1)).toBe(true);
   });
 
+  it("guards against loans that stop the lender's refill while it has callers of its own", async () => {
+    const fleet = await startFleet(1, { x: { rate: 120, burst: 15 } });
+    const { budgets, handlers } = fleet.get("a1");
+    const lend = handlers.get("budget.borrow")!;
+    let refused = 0;
+    // A twelfth of the own rate of 60/s; after 2 s a peer asks for all there is.
+    for (let i = 0; i < 60; i++) {
+      await fleet.time.advance(100);
+      if (i >= 10) lend({ key: "acct/s/x", want: 8, loanMs: LOAN_MS }, "b1");
+      await fleet.time.advance(100);
+      if (!budgets.tryTake("acct/s/x", 1)) refused++;
+    }
+    expect(budgets.getLoanStats().lentTokens).toBeGreaterThan(0);
+    expect(refused).toBe(0);
+  });
+
   it("guards against asking again and again who promises tokens but lends none", async () => {
     const fleet = await startFleet(2, { x: { rate: 0.1, burst: 8 } });
     for (const id of ["a2", "b1", "b2"]) {
