Let lenders refill as soon as a borrowed token is reported as spent

Cause: a lent token lowers its lender's capacity until the loan ends, although most loans are spent on arrival. Ruled out: cold targets (the codes were 121), shards without a holder. Change: a borrower reports what it has spent with its next request to the same lender, as a sum for each loan; the lender gives that capacity back.

--- a/src/budget/bucket.ts
+++ b/src/budget/bucket.ts
@@ -32,6 +32,11 @@
   tryTake(tokens: number, nowMs: number): boolean;
   /** Moves tokens out and lowers the capacity until `untilMs`; false when short. */
   tryLend(tokens: number, untilMs: number, nowMs: number): boolean;
+  /**
+   * Gives back the capacity of lent tokens that were spent, of the loans that
+   * end at `untilMs`. The level stays: a spent token comes back by refill only.
+   */
+  settleLoan(tokens: number, untilMs: number, nowMs: number): void;
   /** Returns taken tokens as far as the bucket could still hold them had they never been taken; gives the amount. */
   giveBack(tokens: number, nowMs: number, takenAtMs?: number): number;
   /** True when tokens were taken within the refund horizon. */
@@ -174,6 +179,19 @@
       addLoan(tokens, untilMs);
       return true;
     },
+    settleLoan(tokens, untilMs, nowMs) {
+      advance(nowMs);
+      noteRoom(nowMs);
+      let left = tokens;
+      for (const loan of loans) {
+        if (loan.atMs !== untilMs) continue;
+        const part = Math.min(left, loan.tokens);
+        loan.tokens -= part;
+        lent = Math.max(0, lent - part);
+        left -= part;
+      }
+      loans = loans.filter((loan) => loan.tokens > 0);
+    },
     giveBack(tokens, nowMs, takenAtMs) {
       advance(nowMs);
       if (takenAtMs !== undefined) return refund(tokens, takenAtMs);
--- a/src/budget/holdings.ts
+++ b/src/budget/holdings.ts
@@ -10,6 +10,7 @@
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
 import type * as Types from "../types.ts";
+import type * as Borrowed from "./borrowed.ts";
 import * as Bucket from "./bucket.ts";
 import * as Division from "./division.ts";
 import * as RateMeter from "./rate_meter.ts";
@@ -17,12 +18,6 @@
 /** How long borrowed tokens live, from the sending of the request. */
 export const LOAN_MS = 2_000;
 
-/** Borrowed tokens, spendable before `expiresAtMs`. */
-export interface BorrowedTokens {
-  tokens: number;
-  readonly expiresAtMs: number;
-}
-
 /** Everything known of one budget key. */
 export interface KeyState {
   readonly key: Contracts.BudgetKey;
@@ -30,9 +25,9 @@
   /** Recent use by this instance's own callers. */
   readonly demand: RateMeter.RateMeter;
   /** Soonest expiry first. */
-  readonly borrowed: BorrowedTokens[];
+  readonly borrowed: Borrowed.BorrowedTokens[];
   /** Spent borrowed tokens, newest last, for refunds. */
-  readonly spentBorrowed: BorrowedTokens[];
+  readonly spentBorrowed: Borrowed.BorrowedTokens[];
   /** Limits to grow to at a time; undefined when none are pending. */
   growth: { readonly limits: Bucket.Limits; readonly atMs: number } | undefined;
 }
--- a/src/budget/lending.ts
+++ b/src/budget/lending.ts
@@ -2,11 +2,13 @@
  * The lender's side of loans.
  *
  * Promise: what is lent has left the bucket, and its capacity stays lower until
- * the loan's time has passed since the answer. Nothing is lent while the own
- * right to spend is not confirmed, nor while own callers wait.
+ * the loan's time has passed since the answer, or the borrower has reported the
+ * tokens as spent. Nothing is lent while the own right to spend is not
+ * confirmed, nor while own callers wait.
  */
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
+import type * as Types from "../types.ts";
 import * as Holdings from "./holdings.ts";
 import * as Messages from "./messages.ts";
 
@@ -30,31 +32,72 @@
   readonly hasWaiters: (key: Contracts.BudgetKey) => boolean;
 }
 
+/** A loan at its lender. */
+interface GrantedLoan {
+  readonly key: Contracts.BudgetKey;
+  readonly tokens: number;
+  readonly untilMs: number;
+  /** Tokens reported as spent. */
+  settled: number;
+}
+
 /** Handles `budget.borrow`; gives a function for the tokens lent since start. */
 export function createLending(deps: LendingDeps): () => number {
   const { clock, holdings, isValid } = deps;
   let lentTokens = 0;
+  /** By borrower and loan id, oldest first. */
+  const granted = new Map<string, GrantedLoan>();
+
+  function dropExpired(nowMs: number): void {
+    for (const [name, loan] of granted) {
+      // Loans last at most LOAN_MS, so none that started later is older.
+      if (loan.untilMs > nowMs) break;
+      granted.delete(name);
+    }
+  }
+
+  function settle(
+    state: Holdings.KeyState,
+    from: Types.InstanceId,
+    report: Messages.SpentReport,
+    nowMs: number,
+  ): void {
+    const loan = granted.get(`${from} ${report.loanId}`);
+    if (loan === undefined || loan.key !== state.key) return;
+    if (loan.untilMs <= nowMs) return;
+    const spent = Math.min(report.tokens, loan.tokens);
+    if (spent <= loan.settled) return;
+    state.bucket.settleLoan(spent - loan.settled, loan.untilMs, nowMs);
+    loan.settled = spent;
+  }
 
-  function lend(req: Messages.BorrowRequest): Messages.BorrowAnswer {
+  function lend(
+    req: Messages.BorrowRequest,
+    from: Types.InstanceId,
+  ): Messages.BorrowAnswer {
     const nothing = { granted: 0, left: 0, spareRate: 0 };
     const state = holdings.tryGet(req.key);
     if (state === undefined || !isValid()) return nothing;
     const now = clock.nowMs();
+    dropExpired(now);
+    for (const report of req.spent) settle(state, from, report, now);
     const { rate } = state.bucket.getLimits();
     const spareRate = Math.max(0, rate - state.demand.getRate(now));
     const free = getLendable(state, req.loanMs, now);
     if (deps.hasWaiters(req.key) || free <= 0) return { ...nothing, spareRate };
-    const granted = Math.min(free, req.want);
+    const tokens = Math.min(free, req.want);
     const untilMs = now + Math.min(req.loanMs, Holdings.LOAN_MS);
-    if (!state.bucket.tryLend(granted, untilMs, now)) return nothing;
-    lentTokens += granted;
-    return { granted, left: free - granted, spareRate };
+    if (!state.bucket.tryLend(tokens, untilMs, now)) return nothing;
+    lentTokens += tokens;
+    const loan = { key: req.key, tokens, untilMs, settled: 0 };
+    if (req.loanId !== "") granted.set(`${from} ${req.loanId}`, loan);
+    return { granted: tokens, left: free - tokens, spareRate };
   }
 
-  deps.peers.handle(Messages.METHODS.borrow, (params) => {
+  deps.peers.handle(Messages.METHODS.borrow, (params, from) => {
     const req = Messages.tryReadBorrow(params);
     if (req === undefined) throw new Error("malformed budget.borrow");
-    return lend(req);
+    return lend(req, from);
   });
   return () => lentTokens;
 }
--- a/src/budget/loans.ts
+++ b/src/budget/loans.ts
@@ -228,20 +228,36 @@
     loanMs: number,
   ): Promise<void> {
     const { key } = line.state;
-    const params: Messages.BorrowRequest = { key, want: ask.want, loanMs };
     const sentAtMs = clock.nowMs();
+    const reports = Borrowed.takeReports(line.state, ask.id, sentAtMs);
+    const loanId = `${peers.incarnation}-${asked}`;
+    const params: Messages.BorrowRequest = {
+      key,
+      want: ask.want,
+      loanMs,
+      loanId,
+      spent: Borrowed.formatReports(reports),
+    };
     asked++;
     const method = Messages.METHODS.borrow;
     const result = await peers.call(ask.id, method, params, BORROW_TIMEOUT_MS);
     if (result.isErr()) return lenders.noteSilence(ask.id);
+    params.spent.forEach(({ tokens }, i) => reports[i]!.confirmed = tokens);
     const answer = Messages.tryReadBorrowAnswer(result.value);
     if (answer === undefined) return lenders.noteSilence(ask.id);
     lenders.noteAnswer(key, ask.id, answer, clock.nowMs() - sentAtMs);
     if (answer.granted <= 0) return;
     borrowedTokens += answer.granted;
     line.borrowedTokens += answer.granted;
-    const expiresAtMs = sentAtMs + loanMs - EXPIRY_MARGIN_MS;
-    Borrowed.addBorrowed(line.state, answer.granted, expiresAtMs);
+    const loan: Borrowed.Loan = {
+      id: loanId,
+      lender: ask.id,
+      expiresAtMs: sentAtMs + loanMs - EXPIRY_MARGIN_MS,
+      spent: 0,
+      reported: 0,
+      confirmed: 0,
+    };
+    Borrowed.addBorrowed(line.state, answer.granted, loan);
     serve(line);
   }
 
--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -72,12 +72,23 @@
   readonly levels: Holdings.ShardLevels;
 }
 
+/** What was spent of one loan since it was granted. */
+export interface SpentReport {
+  readonly loanId: string;
+  /** Sum since the start of the loan, so that a repeated report changes nothing. */
+  readonly tokens: number;
+}
+
 /** `budget.borrow`: up to `want` tokens, at least any useful part. */
 export interface BorrowRequest {
   readonly key: Contracts.BudgetKey;
   readonly want: number;
   /** Ms for which the borrower may spend them, at most `LOAN_MS`. */
   readonly loanMs: number;
+  /** Unique among the borrower's loans; "" when it will not report. */
+  readonly loanId: string;
+  /** Earlier loans of this key from this lender. */
+  readonly spent: readonly SpentReport[];
 }
 
 /** Tokens lent, and what could be lent beyond them. */
@@ -170,12 +181,25 @@
   });
 }
 
-/** Reads the request of `budget.borrow`. */
+function isSpentList(value: unknown): boolean {
+  return Array.isArray(value) && value.every((item) => {
+    const raw = asRaw(item);
+    return typeof raw?.loanId === "string" && isAmount(raw.tokens);
+  });
+}
+
+/**
+ * Reads the request of `budget.borrow`. Instances of an older version send
+ * neither a loan id nor reports; their loans end by time only.
+ */
 export function tryReadBorrow(params: unknown): BorrowRequest | undefined {
   const raw = asRaw(params);
   const isGood = typeof raw?.key === "string" && isAmount(raw.want) &&
     isAmount(raw.loanMs);
-  return isGood ? (raw as unknown as BorrowRequest) : undefined;
+  if (!isGood) return undefined;
+  const { loanId = "", spent = [] } = raw;
+  if (typeof loanId !== "string" || !isSpentList(spent)) return undefined;
+  return { ...raw, loanId, spent } as unknown as BorrowRequest;
 }
 
 /** Reads the answer of `budget.borrow`. */
--- a/tests/budget_test.ts
+++ b/tests/budget_test.ts
@@ -13,7 +13,9 @@
 describe("bucket", () => {
   it("guards against refunds, loans and hand-overs that add tokens in some window", () => {
     const op = FastCheck.record({
-      kind: FastCheck.constantFrom("take", "take", "lend", "refund", "move"),
+      kind: FastCheck.constantFrom(
+        ...["take", "take", "lend", "settle", "refund", "move"],
+      ),
       waitMs: FastCheck.constantFrom(0, 0, 1, 120, 700, 1_999, 2_600),
       tokens: FastCheck.constantFrom(0.5, 1, 1, 3),
       isExact: FastCheck.boolean(),
@@ -51,6 +53,14 @@
               const atMs = Math.max(now, loan.untilMs - 1);
               ran.push({ atMs, tokens: loan.tokens, isRefunded: false });
             }
+          } else if (kind === "settle") {
+            const untilMs = now + LOAN_MS;
+            if (bucket.tryLend(tokens, untilMs, now)) {
+              // Spent at once and reported, half of it twice.
+              ran.push({ atMs: now, tokens, isRefunded: false });
+              bucket.settleLoan(tokens, untilMs, now);
+              bucket.settleLoan(tokens / 2, untilMs, now);
+            }
           } else if (kind === "refund" && mine.length > 0) {
             const [taken] = mine.splice(pick % mine.length, 1);
             taken!.one.isRefunded = true;
@@ -328,6 +338,63 @@
     expect(refused).toBe(0);
   });
 
+  it("guards against spent loans that lower the lender's capacity until they end", async () => {
+    const fleet = await startFleet(1, { x: { rate: 40, burst: 16 } });
+    const borrow = fleet.get("a1").handlers.get("budget.borrow")!;
+    const ask = (n: number, spent: unknown) =>
+      borrow({
+        key: "acct/s/x",
+        want: 1,
+        loanMs: LOAN_MS,
+        loanId: `loan-${n}`,
+        spent,
+      }, "b1");
+    // 10/s at a lender that refills 20/s: within 2 s more than its burst of 8.
+    for (let i = 1; i <= 30; i++) {
+      const spent = i === 1 ? [] : [{ loanId: `loan-${i - 1}`, tokens: 1 }];
+      expect(ask(i, spent)).toMatchObject({ granted: 1 });
+      await fleet.time.advance(100);
+    }
+  });
+
+  it("guards against reports that give capacity twice, of unknown loans, or from another borrower", async () => {
+    const fleet = await startFleet(1, { x: { rate: 200, burst: 16 } });
+    const { budgets, handlers } = fleet.get("a1");
+    const borrow = handlers.get("budget.borrow")!;
+    const ask = (loanId: string, spent: unknown, from: string) =>
+      borrow(
+        { key: "acct/s/x", want: 8, loanMs: LOAN_MS, loanId, spent },
+        from,
+      );
+    expect(ask("loan-1", [], "b1")).toMatchObject({ granted: 8 });
+    const report = { loanId: "loan-1", tokens: 2 };
+    ask("loan-2", [report, report, { loanId: "loan-9", tokens: 8 }], "b1");
+    ask("loan-3", [report], "b1");
+    ask("loan-4", [{ loanId: "loan-1", tokens: 8 }], "b2");
+    await fleet.time.advance(500);
+    // Six tokens of the loan may still be spent by the borrower.
+    expect(budgets.getHolding("acct/s/x").tokens).toBeCloseTo(2, 3);
+  });
+
+  it("guards against a refund of what the lender was told is spent", async () => {
+    const fleet = await startFleet(2, { x: { rate: 200, burst: 2 } });
+    // Both loans come from the one holder of the own domain.
+    for (const id of ["b1", "b2"]) fleet.pause(id);
+    await fleet.time.advance(5_000);
+    const { budgets } = ["a1", "a2"].map((id) => fleet.get(id))
+      .find((one) => one.budgets.getHolding("acct/s/x").burst === 0)!;
+    for (const waitMs of [20, 150]) {
+      const result = budgets.take("acct/s/x", 1, waitMs);
+      await fleet.time.advance(waitMs);
+      expect((await result).isOk()).toBe(true);
+    }
+    const left = budgets.getHolding("acct/s/x").tokens;
+    budgets.giveBack("acct/s/x", 1);
+    budgets.giveBack("acct/s/x", 1);
+    // The second request reported the first one's token.
+    expect(budgets.getHolding("acct/s/x").tokens - left).toBeCloseTo(1, 3);
+  });
+
   it("guards against asking again and again who promises tokens but lends none", async () => {
     const fleet = await startFleet(2, { x: { rate: 0.1, burst: 8 } });
     for (const id of ["a2", "b1", "b2"]) {
