Borrow the chosen region's cap before trying another region

Cause: a request whose region had no cap token at this instance went to another region at once, although other instances held tokens of the chosen one. Change: tokens of the chosen region are borrowed first, for 50 ms at most, unless peers had none within the last seconds.

--- a/src/admission/place.ts
+++ b/src/admission/place.ts
@@ -11,7 +11,13 @@
 import * as Account from "./account.ts";
 import * as Context from "./context.ts";
 
-/** Longest wait for a region's cap before the next region is tried. */
+/**
+ * Longest wait for tokens of peers before the next region is tried. Tokens that
+ * this instance does not hold do not mean that the region is at its cap, and
+ * going elsewhere moves traffic faster than the shift cap allows.
+ */
+const BORROW_WAIT_MS = 50;
+/** Longest wait for a region's cap when no region has a token at once. */
 const CAP_WAIT_MS = 150;
 /** A request that waited this long for a slot may leave its first region. */
 const SPILL_AFTER_MS = 20;
@@ -47,6 +53,20 @@
     .filter((region) => deps.targets.hasUsable(service, region));
 }
 
+/** Takes a cap token of a region, waiting for peers unless they just had none. */
+async function tryTakeCap(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  region: Types.Region,
+  longestMs: number,
+): Promise<CapToken | undefined> {
+  const remainingMs = Context.getRemainingMs(ctx, deps.clock);
+  const waitMs = Math.min(longestMs, remainingMs);
+  const key = getCapKey(ctx.route.service, region);
+  const taken = await deps.budgets.take(key, 1, waitMs);
+  return taken.isOk() ? { region, takenAtMs: deps.clock.nowMs() } : undefined;
+}
+
 /** Takes a cap token of the first region that has one. */
 async function takeCap(
   deps: Context.Deps,
@@ -54,20 +74,24 @@
   regions: readonly Types.Region[],
 ): Promise<CapToken | undefined> {
   const { service } = ctx.route;
-  const quick = regions.find((region) =>
+  const tryQuick = (region: Types.Region) =>
     deps.budgets.tryTake(getCapKey(service, region), 1)
-  );
-  if (quick !== undefined) {
-    return { region: quick, takenAtMs: deps.clock.nowMs() };
+      ? { region, takenAtMs: deps.clock.nowMs() }
+      : undefined;
+  const first = regions[0] ?? "";
+  const quick = tryQuick(first);
+  if (quick !== undefined) return quick;
+  if (!deps.budgets.isScarce(getCapKey(service, first))) {
+    const borrowed = await tryTakeCap(deps, ctx, first, BORROW_WAIT_MS);
+    if (borrowed !== undefined) return borrowed;
+  }
+  for (const region of regions.slice(1)) {
+    const other = tryQuick(region);
+    if (other !== undefined) return other;
   }
   for (const region of regions) {
-    const waitMs = Math.min(
-      CAP_WAIT_MS,
-      Context.getRemainingMs(ctx, deps.clock),
-    );
-    const key = getCapKey(service, region);
-    const taken = await deps.budgets.take(key, 1, waitMs);
-    if (taken.isOk()) return { region, takenAtMs: deps.clock.nowMs() };
+    const token = await tryTakeCap(deps, ctx, region, CAP_WAIT_MS);
+    if (token !== undefined) return token;
   }
   return undefined;
 }
--- a/src/budget/budgets.ts
+++ b/src/budget/budgets.ts
@@ -138,6 +138,7 @@
         burst: limits?.burst ?? 0,
       };
     },
+    isScarce: loans.isScarce,
     getWaitMs(key, tokens) {
       const limits = holdings.tryGet(key)?.bucket.getLimits();
       const short = tokens - loans.getTokens(key);
--- a/src/budget/loans.ts
+++ b/src/budget/loans.ts
@@ -62,6 +62,8 @@
   retake(key: Contracts.BudgetKey, tokens: number, takenAtMs: number): boolean;
   /** Own and borrowed tokens at hand. */
   getTokens(key: Contracts.BudgetKey): number;
+  /** True while the last attempt to borrow fell short and was not long ago. */
+  isScarce(key: Contracts.BudgetKey): boolean;
   getStats(): LoanStats;
   /** Refuses everybody who waits. */
   stop(): void;
@@ -295,6 +297,9 @@
       const state = holdings.tryGet(key);
       return state === undefined ? 0 : Line.getHeld(state, clock.nowMs());
     },
+    isScarce(key) {
+      return (lines.get(key)?.scarceUntilMs ?? 0) > clock.nowMs();
+    },
     getStats: () => ({
       asked,
       borrowedTokens,
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -156,6 +156,8 @@
    */
   retake(key: BudgetKey, tokens: number, takenAtMs: number): boolean;
   getHolding(key: BudgetKey): BudgetHolding;
+  /** True for some seconds after peers had no tokens to lend. */
+  isScarce(key: BudgetKey): boolean;
   /** Milliseconds until `tokens` are there at the own rate; Infinity when never. */
   getWaitMs(key: BudgetKey, tokens: number): number;
   setTable(table: Types.Table): void;
--- a/testing/fakes/request_path.ts
+++ b/testing/fakes/request_path.ts
@@ -64,6 +64,7 @@
       taken.set(key, (taken.get(key) ?? 0) - tokens);
     },
     getHolding: () => ({ tokens: 1, rate: 1, burst: 1 }),
+    isScarce: () => false,
     getWaitMs: () => 1_000,
     setTable: () => {},
     isValid: () => true,
