Claim shards within the growth delay, bounded by every table in use

Cause: no shard was claimed, taken over or handed over for 4.5 s after a table change, because another instance may use the table before. Each edit began that wait anew, so released shards stayed unused while edits followed each other. An instance that had just started waited as well, although its peers had the table for long.

Change: holdings keep the tables that some instance may still use, and a holder's limits are the least sum of its shards' shares under any of them. That bound holds for a shard claimed at any time, so claims need no settled table. An instance that does not know the tables before its first one still waits 4.5 s, unless a heartbeat says that the table is settled (new field isTableSettled). A shard claimed empty counts the largest share of these tables as lent, because its last holder may have grown and lent it.

--- a/src/budget/budgets.ts
+++ b/src/budget/budgets.ts
@@ -56,6 +56,8 @@
   /** Ends all spending and releases the lease; the supervisor's owner stops the tasks. */
   stop(): Promise<void>;
   getMode(): "connected" | "disconnected";
+  /** True when no instance uses a table from before that revision. */
+  isTableSettled(revision: number): boolean;
   getLoanStats(): Loans.LoanStats;
 }
 
@@ -117,6 +119,16 @@
     nextRenewMs = startedMs + (isRenewed ? cfg.lease.renewMs : retryMs);
   }
 
+  /** Spares an instance that starts the wait which a peer has behind it. */
+  function learnSettledTable(): void {
+    const revision = holdings.tryGetDivision()?.revision;
+    if (revision === undefined || holdings.isTableSettled(revision)) return;
+    for (const { heartbeat } of peers.getMembers()) {
+      if (!heartbeat.isTableSettled) continue;
+      holdings.noteTableSettled(heartbeat.tableRevision);
+    }
+  }
+
   async function syncWhenDue(): Promise<void> {
     const startedMs = clock.nowMs();
     if (startedMs < nextSyncMs && !ownership.isBusy()) return;
@@ -159,6 +171,7 @@
       await syncWhenDue();
       supervisor.every("budget-tick", Lease.TICK_INTERVAL_MS, () => {
         lease.tick();
+        learnSettledTable();
         holdings.applyGrowth();
       });
       supervisor.every("lease", POLL_INTERVAL_MS, renewWhenDue);
@@ -170,6 +183,7 @@
       await lease.release();
     },
     getMode: lease.getMode,
+    isTableSettled: holdings.isTableSettled,
     getLoanStats: loans.getStats,
   };
 }
--- a/src/budget/division.ts
+++ b/src/budget/division.ts
@@ -36,6 +36,11 @@
     shard: number,
     key: Contracts.BudgetKey,
   ): Limits;
+  /** The shares of all shards of a domain, by shard. */
+  getShardShares(
+    domain: Types.Domain,
+    key: Contracts.BudgetKey,
+  ): readonly Limits[];
   /** Longest time a request may take, so also between a take and its refund. */
   getDeadlineMs(key: Contracts.BudgetKey): number;
 }
@@ -206,6 +211,7 @@
       fromMicro(byKey.get(key)?.get(domain) ?? NOTHING),
     getShardShare: (domain, shard, key) =>
       getShards(domain, key)[shard] ?? NOTHING,
+    getShardShares: getShards,
     getDeadlineMs(key) {
       const service = key.split("/")[1] ?? "";
       return table.services.get(service)?.deadlineMs ?? 0;
--- a/src/budget/holdings.ts
+++ b/src/budget/holdings.ts
@@ -3,16 +3,17 @@
  * shares of all shards held, and the tokens borrowed from peers.
  *
  * Promise: the limits of a bucket never exceed the shares of the shards held
- * under the table in force, nor, for `growDelayMs` after a table change, those
- * under the table before. It breaks when two instances hold one shard, which
- * ownership and lease prevent.
+ * under the table in force, nor those under any table that another instance may
+ * still use. It breaks when two instances hold one shard, which ownership and
+ * lease prevent, or when the table history's promise does.
  */
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
 import type * as Types from "../types.ts";
 import * as Bucket from "./bucket.ts";
-import * as Division from "./division.ts";
+import type * as Division from "./division.ts";
 import * as RateMeter from "./rate_meter.ts";
+import * as TableHistory from "./table_history.ts";
 
 /** How long borrowed tokens live, from the sending of the request. */
 export const LOAN_MS = 2_000;
@@ -33,8 +34,6 @@
   readonly borrowed: BorrowedTokens[];
   /** Spent borrowed tokens, newest last, for refunds. */
   readonly spentBorrowed: BorrowedTokens[];
-  /** Limits to grow to at a time; undefined when none are pending. */
-  growth: { readonly limits: Bucket.Limits; readonly atMs: number } | undefined;
 }
 
 /** Content of one key's part of a shard, as handed to another holder. */
@@ -60,11 +59,13 @@
 export interface Holdings {
   setDivision(division: Division.Division): void;
   tryGetDivision(): Division.Division | undefined;
-  /** False for `growDelayMs` after each table: other instances may use the one before. */
-  isSettled(): boolean;
-  /** True once a second table arrived. */
-  hasChangedTable(): boolean;
-  /** Applies the growth that is due. */
+  /** True when every table that another instance may use bounds the limits here. */
+  knowsTablesInUse(): boolean;
+  /** True when no instance uses a table from before that revision. */
+  isTableSettled(revision: number): boolean;
+  /** Takes a peer's word that a table is settled. */
+  noteTableSettled(revision: number): void;
+  /** Raises limits that a table now out of use kept lower. */
   applyGrowth(): void;
   activate(shard: number, start: ShardStart): void;
   /** Stops spending a shard's shares at once; gives its content. */
@@ -88,20 +89,11 @@
   const { clock, domain } = deps;
   const states = new Map<Contracts.BudgetKey, KeyState>();
   const shards = new Set<number>();
-  let division: Division.Division | undefined;
-  let tables = 0;
-  let settledAtMs = Infinity;
-
-  function getTarget(key: Contracts.BudgetKey): Bucket.Limits {
-    let rate = 0;
-    let burst = 0;
-    for (const shard of shards) {
-      const share = division?.getShardShare(domain, shard, key);
-      rate += share?.rate ?? 0;
-      burst += share?.burst ?? 0;
-    }
-    return { rate, burst };
-  }
+  const history = TableHistory.createTableHistory(
+    clock,
+    domain,
+    deps.growDelayMs,
+  );
 
   function getOrCreate(key: Contracts.BudgetKey): KeyState {
     const known = states.get(key);
@@ -112,45 +104,39 @@
       demand: RateMeter.createRateMeter(),
       borrowed: [],
       spentBorrowed: [],
-      growth: undefined,
     };
     states.set(key, state);
     return state;
   }
 
-  function changeLimits(state: KeyState, isFirst: boolean): void {
+  function updateLimits(): void {
     const now = clock.nowMs();
-    const target = getTarget(state.key);
-    const old = state.bucket.getLimits();
-    const reduced = {
-      rate: Math.min(old.rate, target.rate),
-      burst: Math.min(old.burst, target.burst),
-    };
-    state.bucket.setLimits(isFirst ? target : reduced, now);
-    if (isFirst || areEqual(reduced, target)) {
-      state.growth = undefined;
-    } else if (!areEqual(state.growth?.limits, target)) {
-      state.growth = { limits: target, atMs: now + deps.growDelayMs };
+    for (const { bucket, key } of states.values()) {
+      // Set rather than summed, so that rounding does not build up.
+      bucket.setLimits(history.getLimits(shards, key), now);
     }
   }
 
+  /** Content of a shard that adds `gained`; `largestBurst` bounds what is lent of it. */
   function createPart(
     key: Contracts.BudgetKey,
-    share: Bucket.Limits,
+    gained: Bucket.Limits,
+    largestBurst: number,
     start: ShardStart,
     now: number,
   ): Bucket.BucketPart {
     switch (start.kind) {
       case "full":
-        return { level: share.burst, lent: 0, lentUntilMs: now };
+        return { level: gained.burst, lent: 0, lentUntilMs: now };
       case "empty":
         // Tokens that the last holder lent may live for one loan period more.
-        return { level: 0, lent: share.burst, lentUntilMs: now + LOAN_MS };
+        return { level: 0, lent: largestBurst, lentUntilMs: now + LOAN_MS };
       case "levels": {
         const given = start.levels[key] ?? { level: 0, lent: 0, lentMs: 0 };
-        const lent = Math.min(given.lent, share.burst);
+        const lent = Math.min(given.lent, largestBurst);
+        const room = Math.max(0, gained.burst - lent);
         return {
-          level: Math.min(given.level, share.burst - lent),
+          level: Math.min(given.level, room),
           lent,
           lentUntilMs: now + given.lentMs,
         };
@@ -160,56 +146,47 @@
 
   return {
     setDivision(next) {
-      const isFirst = tables === 0;
-      division = next;
-      tables++;
-      settledAtMs = clock.nowMs() + deps.growDelayMs;
+      history.add(next);
       for (const key of next.keys) {
         getOrCreate(key).bucket.setHorizon(next.getDeadlineMs(key));
       }
-      for (const state of states.values()) changeLimits(state, isFirst);
+      updateLimits();
     },
-    tryGetDivision: () => division,
-    isSettled: () => clock.nowMs() >= settledAtMs,
-    hasChangedTable: () => tables > 1,
+    tryGetDivision: history.tryGetNewest,
+    knowsTablesInUse: history.isComplete,
+    isTableSettled: history.isSettled,
+    noteTableSettled: history.noteSettled,
     applyGrowth() {
-      const now = clock.nowMs();
-      for (const state of states.values()) {
-        if (state.growth === undefined || state.growth.atMs > now) continue;
-        state.bucket.setLimits(state.growth.limits, now);
-        state.growth = undefined;
-      }
+      if (history.dropUnused()) updateLimits();
     },
     activate(shard, start) {
+      const division = history.tryGetNewest();
       if (shards.has(shard) || division === undefined) return;
       shards.add(shard);
       const now = clock.nowMs();
       for (const key of division.keys) {
-        const share = division.getShardShare(domain, shard, key);
-        if (share.burst === 0 && share.rate === 0) continue;
-        const part = createPart(key, share, start, now);
-        const state = getOrCreate(key);
-        state.bucket.addPart(share, part, now);
-        if (state.growth === undefined) {
-          // Set rather than summed, so that rounding does not build up.
-          state.bucket.setLimits(getTarget(key), now);
-        } else {
-          state.growth = { ...state.growth, limits: getTarget(key) };
-        }
+        const { bucket } = getOrCreate(key);
+        const limits = history.getLimits(shards, key);
+        const gained = subtract(limits, bucket.getLimits());
+        const largestBurst = history.getLargestBurst(shard, key);
+        if (gained.rate === 0 && largestBurst === 0) continue;
+        const part = createPart(key, gained, largestBurst, start, now);
+        bucket.addPart(gained, part, now);
+        bucket.setLimits(limits, now);
       }
     },
     deactivate(shard) {
       const levels: Record<Contracts.BudgetKey, LevelPart> = {};
-      if (!shards.delete(shard) || division === undefined) return levels;
+      if (!shards.delete(shard)) return levels;
       const now = clock.nowMs();
-      for (const key of division.keys) {
-        const share = division.getShardShare(domain, shard, key);
-        if (share.burst === 0 && share.rate === 0) continue;
-        const state = getOrCreate(key);
-        const part = state.bucket.removePart(share, now);
+      for (const [key, { bucket }] of states) {
+        const limits = history.getLimits(shards, key);
+        const lost = subtract(bucket.getLimits(), limits);
+        if (lost.burst === 0 && lost.rate === 0) continue;
+        const part = bucket.removePart(lost, now);
         const lentMs = Math.max(0, part.lentUntilMs - now);
         levels[key] = { level: part.level, lent: part.lent, lentMs };
-        changeLimits(state, state.growth === undefined);
+        bucket.setLimits(limits, now);
       }
       return levels;
     },
@@ -225,6 +202,10 @@
   };
 }
 
-function areEqual(a: Bucket.Limits | undefined, b: Bucket.Limits): boolean {
-  return a !== undefined && a.rate === b.rate && a.burst === b.burst;
+/** What `a` has beyond `b`; at least 0. */
+function subtract(a: Bucket.Limits, b: Bucket.Limits): Bucket.Limits {
+  return {
+    rate: Math.max(0, a.rate - b.rate),
+    burst: Math.max(0, a.burst - b.burst),
+  };
 }
--- a/src/budget/ownership.ts
+++ b/src/budget/ownership.ts
@@ -126,8 +126,7 @@
 
   function mayClaim(kind: Plan.ShardStep["kind"]): boolean {
     return holdings.tryGetDivision() !== undefined && Plan.mayClaim(kind, {
-      hasChangedTable: holdings.hasChangedTable(),
-      isSettled: holdings.isSettled(),
+      knowsTablesInUse: holdings.knowsTablesInUse(),
       hasReachedStore: health.getReachableForMs() >= deps.leaseTtlMs,
     });
   }
@@ -165,7 +164,7 @@
   async function balance(
     entries: ReadonlyMap<number, Plan.ShardEntry>,
   ): Promise<void> {
-    if (isLeaving || !holdings.isSettled()) return;
+    if (isLeaving || !holdings.knowsTablesInUse()) return;
     const counts = Plan.countShards(entries.values(), store.getMembers());
     const receiver = Plan.planBalance(counts, deps.self, getReceivers());
     const shard = holdings.getShards()[0];
@@ -204,7 +203,7 @@
   }
 
   function isReady(): boolean {
-    return deps.isLeaseValid() && holdings.isSettled() && !isLeaving;
+    return deps.isLeaseValid() && holdings.knowsTablesInUse() && !isLeaving;
   }
 
   function receive(req: Messages.HandOverRequest): boolean {
--- a/src/budget/shard_plan.ts
+++ b/src/budget/shard_plan.ts
@@ -53,19 +53,23 @@
 
 /** What a claim depends on beside the records. */
 export interface ClaimConditions {
-  readonly hasChangedTable: boolean;
-  readonly isSettled: boolean;
+  /** True when the share is bounded by every table that others may use. */
+  readonly knowsTablesInUse: boolean;
   /** True when the store was reachable for one full lease period. */
   readonly hasReachedStore: boolean;
 }
 
-/** Claims need a settled table: an older one elsewhere may still give the share to others. */
+/**
+ * An older table that is unknown here may give the share to others. A shard
+ * that was never held is claimed anyway, or a fleet that starts could not serve.
+ */
 export function mayClaim(
   kind: ShardStep["kind"],
   now: ClaimConditions,
 ): boolean {
-  if (kind === "claim-new") return now.isSettled || !now.hasChangedTable;
-  return now.isSettled && (kind === "claim-released" || now.hasReachedStore);
+  if (kind === "claim-new") return true;
+  if (!now.knowsTablesInUse) return false;
+  return kind === "claim-released" || now.hasReachedStore;
 }
 
 /** Most shards that a member claims by itself, so that others get their part. */
--- a/src/daemon/heartbeat.ts
+++ b/src/daemon/heartbeat.ts
@@ -57,6 +57,7 @@
 
   function get(): Types.Heartbeat {
     const { id, domain, region } = cfg.instance;
+    const tableRevision = sources?.config.getTable()?.revision ?? 0;
     const evidenceMs = sources?.freshness.getAgeMs() ?? NEVER_MS;
     return {
       id,
@@ -64,7 +65,8 @@
       domain,
       region,
       state,
-      tableRevision: sources?.config.getTable()?.revision ?? 0,
+      tableRevision,
+      isTableSettled: sources?.budgets.isTableSettled(tableRevision) ?? false,
       keysRevision: sources?.config.getKeysRevision() ?? 0,
       storeSeenMsAgo: getAge(sources?.platform.getLastAnsweredAtMs()),
       isStoreFailing: sources?.platform.isFailing() ?? true,
--- a/src/peer/heartbeat.ts
+++ b/src/peer/heartbeat.ts
@@ -58,8 +58,8 @@
     raw.load,
   ];
   const isGood = [...texts, ...addresses].every(isText) &&
-    numbers.every(isCount) && typeof raw.isStoreFailing === "boolean" &&
-    STATES.includes(state) &&
+    numbers.every(isCount) && STATES.includes(state) &&
+    [raw.isStoreFailing, raw.isTableSettled].every(isBoolean) &&
     Array.isArray(shards) && shards.every(isCount);
   // Every field was checked above.
   return isGood ? raw as unknown as Types.Heartbeat : undefined;
@@ -69,6 +69,10 @@
   return typeof value === "string" && value.length <= 300;
 }
 
+function isBoolean(value: unknown): boolean {
+  return typeof value === "boolean";
+}
+
 function isCount(value: unknown): boolean {
   return typeof value === "number" && Number.isFinite(value) && value >= 0;
 }
--- a/src/types.ts
+++ b/src/types.ts
@@ -115,6 +115,8 @@
   readonly region: Region;
   readonly state: MemberState;
   readonly tableRevision: number;
+  /** True when no instance uses a table from before that revision. */
+  readonly isTableSettled: boolean;
   readonly keysRevision: number;
   /** Milliseconds since the sender itself had an answer from the store. */
   readonly storeSeenMsAgo: number;
--- a/testing/bench/heartbeats.ts
+++ b/testing/bench/heartbeats.ts
@@ -51,6 +51,7 @@
       region: domain,
       state: "live",
       tableRevision: 12,
+      isTableSettled: false,
       keysRevision: 7,
       storeSeenMsAgo: Math.random() * 3_000,
       isStoreFailing: false,
--- a/testing/bench/lookup_answers.ts
+++ b/testing/bench/lookup_answers.ts
@@ -24,6 +24,7 @@
     region,
     state: "live",
     tableRevision: 1,
+    isTableSettled: false,
     keysRevision: 1,
     storeSeenMsAgo: 0,
     isStoreFailing: false,
--- a/testing/fakes/budget_fleet.ts
+++ b/testing/fakes/budget_fleet.ts
@@ -339,6 +339,7 @@
       region: table.domains.get(domain) ?? "",
       state,
       tableRevision: table.revision,
+      isTableSettled: budgets.isTableSettled(table.revision),
       keysRevision: 0,
       storeSeenMsAgo: 0,
       isStoreFailing: false,
--- a/testing/fakes/peer_net.ts
+++ b/testing/fakes/peer_net.ts
@@ -31,6 +31,7 @@
     region: domain.split("-")[0] ?? domain,
     state: "live",
     tableRevision: 0,
+    isTableSettled: false,
     keysRevision: 0,
     storeSeenMsAgo: 0,
     isStoreFailing: false,
