Renew the evidence of a store outage at each request

Cause: the evidence that keys are current was renewed by a known outage only at heartbeats (1 s), as a request looked at peers only once the evidence was 4 s old. It is dated 2 s back, so the end of the outage could leave 1 s instead of 2 s for a read of the keys, and requests were then refused with code 104.

--- a/src/config/freshness.ts
+++ b/src/config/freshness.ts
@@ -118,7 +118,9 @@
     isCurrent() {
       if (cfg.whenIsolated === "serve") return true;
       const nowMs = clock.nowMs();
-      if (isWithinLimit(nowMs)) return true;
+      // Evidence of an outage is this old from the start. It is renewed while
+      // the outage lasts, or its end leaves less time for a read of the keys.
+      if (nowMs - evidenceAtMs < outageAgeMs) return true;
       scan(nowMs);
       return isWithinLimit(nowMs);
     },
--- a/tests/config_test.ts
+++ b/tests/config_test.ts
@@ -395,6 +395,25 @@
     expect(freshness.isCurrent()).toBe(false);
   });
 
+  it("guards against an outage's end that leaves less than one read's time since the last request", () => {
+    const failing = { ...lost, isStoreFailing: true };
+    const { state, freshness } = createCase(
+      [createMember("b", "d2", failing)],
+      undefined,
+      { answeredAtMs: 99_900, isFailing: true },
+    );
+    // Requests without a heartbeat in between.
+    expect(freshness.isCurrent()).toBe(true);
+    state.nowMs += 950;
+    expect(freshness.isCurrent()).toBe(true);
+    state.isFailing = false;
+    state.answeredAtMs = state.nowMs;
+    state.nowMs += 1_900;
+    expect(freshness.isCurrent()).toBe(true);
+    state.nowMs += 200;
+    expect(freshness.isCurrent()).toBe(false);
+  });
+
   it("refuses when a reached peer reaches the store or has newer keys", () => {
     const b = createMember("b", "d2", lost);
     const seesStore = createMember("c", "d3", {
