Name once what the lease and the shard ownership need of their instance

Change: both extend InstanceDeps in src/budget/instance_deps.ts. Types only; the emitted code does not change. Conclusion: one place to add a dependency of both.

--- a/src/budget/lease.ts
+++ b/src/budget/lease.ts
@@ -10,12 +10,10 @@
  * the margin per lease period, or with `on_silent_peer = "keep"`.
  */
 import type { Result } from "ts-results-es";
-import type * as Clock from "../clock.ts";
-import type * as Contracts from "../contracts.ts";
-import type * as Log from "../log.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
 import * as Confirm from "./confirm.ts";
+import type * as InstanceDeps from "./instance_deps.ts";
 import * as Messages from "./messages.ts";
 import * as Relay from "./relay.ts";
 import * as StoreHealth from "./store_health.ts";
@@ -28,15 +26,7 @@
 const FIRST_WAVE = 2;
 
 /** What the lease needs of its surroundings. */
-export interface LeaseDeps {
-  readonly self: Types.InstanceId;
-  readonly incarnation: string;
-  readonly domain: Types.Domain;
-  readonly platform: Contracts.PlatformClient;
-  readonly health: StoreHealth.StoreHealth;
-  readonly peers: Contracts.PeerNet;
-  readonly clock: Clock.Clock;
-  readonly log: Log.Logger;
+export interface LeaseDeps extends InstanceDeps.InstanceDeps {
   readonly cfg: LeaseSettings;
   /** Instances of the domain that the store named last. */
   readonly getStorePeers: () => readonly Types.InstanceId[];
--- a/src/budget/ownership.ts
+++ b/src/budget/ownership.ts
@@ -8,17 +8,14 @@
  * without the giver's message starts empty. It breaks when the lease's promise
  * does.
  */
-import type * as Clock from "../clock.ts";
-import type * as Contracts from "../contracts.ts";
-import type * as Log from "../log.ts";
 import type * as Types from "../types.ts";
 import * as Confirm from "./confirm.ts";
 import * as Division from "./division.ts";
 import type * as Holdings from "./holdings.ts";
+import type * as InstanceDeps from "./instance_deps.ts";
 import * as Messages from "./messages.ts";
 import * as Plan from "./shard_plan.ts";
 import * as ShardStore from "./shard_store.ts";
-import type * as StoreHealth from "./store_health.ts";
 
 /** Wait for a giver's message before a shard is adopted without its content. */
 const HANDOVER_WAIT_MS = 2_000;
@@ -27,15 +24,7 @@
 const CALL_TIMEOUT_MS = 1_000;
 
 /** What ownership needs of its surroundings. */
-export interface OwnershipDeps {
-  readonly self: Types.InstanceId;
-  readonly incarnation: string;
-  readonly domain: Types.Domain;
-  readonly platform: Contracts.PlatformClient;
-  readonly health: StoreHealth.StoreHealth;
-  readonly peers: Contracts.PeerNet;
-  readonly clock: Clock.Clock;
-  readonly log: Log.Logger;
+export interface OwnershipDeps extends InstanceDeps.InstanceDeps {
   readonly holdings: Holdings.Holdings;
   readonly leaseTtlMs: number;
   readonly isLeaseValid: () => boolean;
