Split the shard tests and the fake fleet of the budget tests

Change: the property moved to tests/conserved_limits_test.ts, the cases that turn on a lease's validity to tests/lease_test.ts; their quiet fleet is tests/support/quiet_fleet.ts. The fakes are one file per part. Describe and test names, checks, bounds and the order of random draws are unchanged. Conclusion: the fakes are read part by part, behaviour is the same.

--- a/tests/budget_test.ts
+++ b/tests/budget_test.ts
@@ -4,9 +4,12 @@
 import * as Division from "../src/budget/division.ts";
 import type * as Types from "../src/types.ts";
 import * as Fakes from "../testing/fakes/budget_fleet.ts";
+import type * as Network from "../testing/fakes/budget_network.ts";
+import * as Tables from "../testing/fakes/budget_tables.ts";
+import * as Excess from "../testing/fakes/excess.ts";
 
 const SEED = Number(process.env.ANVILROUTE_SEED ?? Date.now() % 1e9);
-const QUIET: Fakes.Noise = { loss: 0, late: 0, twice: 0 };
+const QUIET: Network.Noise = { loss: 0, late: 0, twice: 0 };
 const ROUNDING = 1e-6;
 const LOAN_MS = 2_000;
 
@@ -30,8 +33,8 @@
         const buckets = [Bucket.createBucket(0), Bucket.createBucket(0)];
         const full = { level: half.burst, lent: 0, lentUntilMs: 0 };
         for (const bucket of buckets) bucket.addPart(half, full, 0);
-        const ran: Fakes.Admission[] = [];
-        const mine: { one: Fakes.Admission; bucket: Bucket.Bucket }[] = [];
+        const ran: Excess.Admission[] = [];
+        const mine: { one: Excess.Admission; bucket: Bucket.Bucket }[] = [];
         const lent: { tokens: number; untilMs: number }[] = [];
         let now = 0;
         for (const { kind, waitMs, tokens, isExact, pick } of ops) {
@@ -63,7 +66,7 @@
             other.addPart(part, bucket.removePart(part, now), now);
           }
         }
-        const excess = Fakes.findExcess(ran, [{ fromMs: 0, rate, burst }]);
+        const excess = Excess.findExcess(ran, [{ fromMs: 0, rate, burst }]);
         expect(excess).toBeLessThan(ROUNDING);
       }),
       { seed: SEED, numRuns: 3_000 },
@@ -107,7 +110,7 @@
             Array.from({ length: size }, (_, d) => `r${r}-${d}`),
           ]),
         );
-        const table = Fakes.createTable(1, regions, { x: cell }, capRps);
+        const table = Tables.createTable(1, regions, { x: cell }, capRps);
         const division = Division.createDivision(table);
         const domains = [...table.domains.keys()];
         for (const key of division.keys) {
@@ -145,7 +148,7 @@
 
   it("gives a region's own domains 70% of its cap, and every shard a whole token where possible", () => {
     const regions = { r0: ["p", "q"], r1: ["t"] };
-    const table = Fakes.createTable(
+    const table = Tables.createTable(
       1,
       regions,
       { x: { rate: 10, burst: 10 } },
@@ -172,7 +175,7 @@
   opts: Partial<Fakes.FleetOptions> = {},
 ) {
   const fleet = Fakes.createFleet({ seed: SEED, noise: QUIET, ...opts });
-  const table = Fakes.createTable(1, { r: ["da", "db"] }, cells);
+  const table = Tables.createTable(1, { r: ["da", "db"] }, cells);
   for (let i = 1; i <= perDomain; i++) {
     fleet.addNode(`a${i}`, "da", table);
     fleet.addNode(`b${i}`, "db", table);
--- /dev/null
+++ b/tests/lease_test.ts
@@ -0,0 +1,141 @@
+import { describe, expect, it } from "vitest";
+import * as Quiet from "./support/quiet_fleet.ts";
+
+describe("shards and leases", () => {
+  it("guards against a holder that was paused past its lease and admits after it", async () => {
+    const fleet = Quiet.createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.pause("a1");
+    await fleet.time.advance(60_000);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+    // As its first requests after the pause, before any timer or answer.
+    expect(fleet.budgets("a1").tryTake(Quiet.X, 0.1)).toBe(false);
+    expect((await fleet.budgets("a1").take(Quiet.X, 0.1, 0)).isErr()).toBe(
+      true,
+    );
+    const lend = fleet.get("a1").handlers.get("budget.borrow")!;
+    expect(lend({ key: Quiet.X, want: 1, loanMs: 100 }, "b1"))
+      .toMatchObject({ granted: 0 });
+    fleet.resume("a1");
+    await fleet.time.advance(300);
+    expect(fleet.budgets("a1").isValid()).toBe(true);
+    fleet.expectSoleHolders();
+    await fleet.time.advance(10_000);
+    fleet.expectSoleHolders();
+    expect(fleet.budgets("a1").getShards()).toHaveLength(4);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(4);
+  });
+
+  it("keeps an instance admitting that reaches the store only through a peer", async () => {
+    const fleet = Quiet.createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.cutBothWays("a1", "store");
+    for (let i = 0; i < 60; i++) {
+      await fleet.time.advance(1_000);
+      expect(fleet.budgets("a1").isValid()).toBe(true);
+    }
+    expect(fleet.budgets("a1").getMode()).toBe("connected");
+    expect(fleet.budgets("a1").getShards()).toHaveLength(4);
+  });
+
+  it("guards against spending after a process pause in disconnected mode, until peers confirmed", async () => {
+    const fleet = Quiet.createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.setStoreUp(false);
+    await fleet.time.advance(20_000);
+    expect(fleet.budgets("a1").getMode()).toBe("disconnected");
+    fleet.pause("a1");
+    await fleet.time.advance(1_500);
+    expect(fleet.budgets("a1").isValid()).toBe(false);
+    fleet.cutBothWays("a1", "a2");
+    fleet.resume("a1");
+    // The tick after the pause must not clear what only the peer can.
+    await fleet.time.advance(4_000);
+    expect(fleet.budgets("a1").isValid()).toBe(false);
+    fleet.heal();
+    await fleet.time.advance(8_000);
+    expect(fleet.budgets("a1").isValid()).toBe(true);
+  });
+
+  it("suspends beside a silent domain peer, unless it is gone or the setting says keep", async () => {
+    for (const onSilentPeer of ["suspend", "keep"] as const) {
+      const fleet = Quiet.createQuietFleet({ onSilentPeer });
+      await fleet.start("a1", "a2", "b1");
+      fleet.cutBothWays("a1", "a2");
+      fleet.cutBothWays("a1", "store");
+      fleet.cutBothWays("b1", "store");
+      await fleet.time.advance(30_000);
+      const isKept = onSilentPeer === "keep";
+      expect(fleet.budgets("a1").isValid()).toBe(isKept);
+      expect(fleet.budgets("b1").isValid()).toBe(true);
+    }
+  });
+
+  it("guards against holding on beside a domain peer that still reaches the store", async () => {
+    const fleet = Quiet.createQuietFleet();
+    await fleet.start("a1", "a2");
+    fleet.cutBothWays("a1", "store");
+    // The relayed renewals are lost on the way to the peer, heartbeats arrive.
+    fleet.cut("a1", "a2");
+    await fleet.time.advance(40_000);
+    expect(fleet.budgets("a1").isValid()).toBe(false);
+    expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+  });
+
+  it("guards against two holders when a lapsed one returns during a take-over", async () => {
+    const fleet = Quiet.createQuietFleet();
+    await fleet.start("a1", "a2", "b1");
+    fleet.kill("b1");
+    fleet.pause("a1");
+    for (let i = 0; i < 200; i++) {
+      await fleet.time.advance(100);
+      if (i === 120) fleet.resume("a1");
+      fleet.expectSoleHolders();
+    }
+    const [a1, a2] = ["a1", "a2"].map((id) => fleet.budgets(id).getShards());
+    expect([...a1!, ...a2!].toSorted()).toEqual([0, 1, 2, 3, 4, 5, 6, 7]);
+  });
+
+  it("guards against a lease counted from its answer", async () => {
+    const fleet = Quiet.createQuietFleet();
+    await fleet.start("a1", "a2");
+    const countRenewals = fleet.hold("a1", "renew");
+    while (countRenewals() === 0) await fleet.time.advance(1);
+    const sentMs = fleet.time.nowMs();
+    fleet.release();
+    // The answer is there when the process goes on.
+    fleet.pause("a1");
+    await fleet.time.advance(5_000);
+    fleet.resume("a1");
+    fleet.cut("*", "a1");
+    await fleet.time.advance(sentMs + 8_900 - fleet.time.nowMs());
+    expect(fleet.budgets("a1").isValid()).toBe(true);
+    await fleet.time.advance(200);
+    expect(fleet.budgets("a1").isValid()).toBe(false);
+  });
+
+  it("keeps the content of a lapsed holder whose shards nobody took", async () => {
+    const fleet = Quiet.createQuietFleet();
+    await fleet.start("a1", "b1");
+    fleet.pause("a1");
+    await fleet.time.advance(30_000);
+    fleet.resume("a1");
+    await fleet.time.advance(200);
+    expect(fleet.budgets("a1").getHolding(Quiet.X).tokens).toBeCloseTo(8);
+    expect(fleet.budgets("a1").tryTake(Quiet.X, 8)).toBe(true);
+  });
+
+  it("guards against a replacement that starts while its paused predecessor may still spend", async () => {
+    const fleet = Quiet.createQuietFleet();
+    await fleet.start("a1", "b1");
+    const old = fleet.get("a1");
+    fleet.pause("a1");
+    const next = fleet.addNode("a1", "da", fleet.table);
+    for (let i = 0; i < 300; i++) {
+      await fleet.time.advance(100);
+      const both = old.budgets.isValid() && next.budgets.isValid();
+      expect(both).toBe(false);
+    }
+    expect(next.budgets.getShards()).toHaveLength(8);
+  });
+});
