--- a/testing/fakes/peer_net.ts
+++ b/testing/fakes/peer_net.ts
@@ -42,6 +42,18 @@
   };
 }
 
+/** A member as a peer net would report it. */
+export function createMember(
+  id: string,
+  domain: string,
+  fields: Partial<Types.Heartbeat> = {},
+  ageMs = 500,
+): Types.Member {
+  const heartbeat = createHeartbeat(id, domain);
+  const isReachable = ageMs < 3_000;
+  return { heartbeat: { ...heartbeat, ...fields }, ageMs, isReachable };
+}
+
 /** Starts a net on a port from the system. */
 export async function startNet(
   id: string,
--- a/tests/config_test.ts
+++ b/tests/config_test.ts
@@ -1,27 +1,16 @@
 import * as fc from "fast-check";
-import { afterEach, describe, expect, it, vi } from "vitest";
-import * as Freshness from "../src/config/freshness.ts";
+import { describe, expect, it, vi } from "vitest";
 import * as Holder from "../src/config/holder.ts";
 import * as Watchers from "../src/config/watchers.ts";
-import type * as Contracts from "../src/contracts.ts";
 import * as Keys from "../src/keys/keys.ts";
 import * as Client from "../src/peer/client.ts";
 import type * as Types from "../src/types.ts";
 import * as Fakes from "../testing/fakes/config_net.ts";
 import * as Helpers from "../testing/fakes/peer_net.ts";
+import * as Instances from "./support/config_instances.ts";
 
 const WAIT = { timeout: 15_000, interval: 20 };
-const cleanups: (() => unknown)[] = [];
-
-async function start(...args: Parameters<typeof Fakes.startInstance>) {
-  const started = await Fakes.startInstance(...args);
-  cleanups.push(started.stop);
-  return started;
-}
-
-afterEach(async () => {
-  for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
-});
+const start = Instances.createStart();
 
 /** Starts four instances in two domains; `isCut` tells who can't reach the store. */
 async function startFour(
@@ -238,18 +227,6 @@
   });
 });
 
-/** A member as a peer net would report it. */
-function createMember(
-  id: string,
-  domain: string,
-  fields: Partial<Types.Heartbeat> = {},
-  ageMs = 500,
-): Types.Member {
-  const heartbeat = Helpers.createHeartbeat(id, domain);
-  const isReachable = ageMs < 3_000;
-  return { heartbeat: { ...heartbeat, ...fields }, ageMs, isReachable };
-}
-
 describe("watchers", () => {
   it("are chosen among live members of the own domain only", () => {
     const ids = ["a", "b", "c", "d", "e"];
@@ -261,180 +238,14 @@
           members.filter((m) => m.heartbeat.id !== id),
         )
       ).length;
-    expect(count(ids.map((id) => createMember(id, "d1")))).toBe(2);
-    const others = ids.map((id) => createMember(`x-${id}`, "d2"));
+    expect(count(ids.map((id) => Helpers.createMember(id, "d1")))).toBe(2);
+    const others = ids.map((id) => Helpers.createMember(`x-${id}`, "d2"));
     expect(count(others)).toBe(ids.length);
     const gone = ids.map((id) =>
-      createMember(id, "d1", id < "d" ? { state: "leaving" } : {})
+      Helpers.createMember(id, "d1", id < "d" ? { state: "leaving" } : {})
     );
     expect(count(gone, ["d", "e"])).toBe(2);
-    expect(count(ids.map((id) => createMember(id, "d1", {}, 9_000)))).toBe(5);
-  });
-});
-
-describe("freshness", () => {
-  function createCase(
-    members: readonly Types.Member[],
-    domains: readonly string[] = ["d1", "d2", "d3"],
-    own: {
-      readAtMs?: number;
-      answeredAtMs?: number;
-      isFailing?: boolean;
-      revision?: number;
-    } = {},
-    whenIsolated: "refuse" | "serve" = "refuse",
-  ) {
-    const state = { nowMs: 100_000, members, ...own };
-    const freshness = Freshness.createFreshness({
-      peers: { getMembers: () => state.members } as Contracts.PeerNet,
-      platform: {
-        getLastAnsweredAtMs: () => state.answeredAtMs,
-        isFailing: () => state.isFailing ?? false,
-      } as Contracts.PlatformClient,
-      config: {
-        getKeysRevision: () => state.revision ?? 5,
-        tryGetKeysReadAtMs: () => state.readAtMs,
-      },
-      clock: { nowMs: () => state.nowMs, wallMs: () => 0 },
-      domains: () => domains,
-      cfg: { domain: "d1", stalenessLimitMs: 4_000, whenIsolated },
-    });
-    return { state, freshness };
-  }
-  const lost = { storeSeenMsAgo: 60_000, relayedStoreSeenMsAgo: 60_000 };
-
-  it("ends after the limit in an instance without store and peers", () => {
-    const { state, freshness } = createCase([], undefined, {
-      readAtMs: 100_000,
-      answeredAtMs: 100_000,
-    });
-    expect(freshness.isCurrent()).toBe(true);
-    state.nowMs += 4_000;
-    expect(freshness.isCurrent()).toBe(true);
-    state.nowMs += 1;
-    expect(freshness.isCurrent()).toBe(false);
-    expect(freshness.getAgeMs()).toBe(4_001);
-    expect(createCase([]).freshness.isCurrent()).toBe(false);
-    const serve = createCase([], undefined, {}, "serve").freshness;
-    expect(serve.isCurrent()).toBe(true);
-  });
-
-  it("does not take an answer to another call for a read of the keys", () => {
-    const { freshness } = createCase([], undefined, { answeredAtMs: 99_900 });
-    expect(freshness.isCurrent()).toBe(false);
-  });
-
-  it("adds the heartbeat's age to the evidence in it", () => {
-    const { freshness } = createCase([
-      createMember("b", "d2", { relayedStoreSeenMsAgo: 1_200 }, 700),
-    ]);
-    expect(freshness.getAgeMs()).toBe(1_900);
-  });
-
-  it("ignores evidence for a keys revision that is missing here", () => {
-    const member = createMember("b", "d2", {
-      keysRevision: 6,
-      relayedStoreSeenMsAgo: 10,
-    });
-    const { state, freshness } = createCase([member]);
-    expect(freshness.isCurrent()).toBe(false);
-    state.revision = 6;
-    state.nowMs += 100;
-    expect(freshness.isCurrent()).toBe(true);
-  });
-
-  it("never gets younger while peers only hear each other", () => {
-    const stepMs = 100;
-    const cases = [createCase([]), createCase([])] as const;
-    cases[0].state.readAtMs = 100_000;
-    let lastMs = -stepMs;
-    for (let step = 0; step <= 50; step++) {
-      for (const [index, one] of cases.entries()) {
-        const other = cases[1 - index]!;
-        const relayed = Math.ceil(one.freshness.getAgeMs());
-        // Sent now, and read at the next step.
-        other.state.members = [
-          createMember("p", "d2", { relayedStoreSeenMsAgo: relayed }, stepMs),
-        ];
-      }
-      const ages = cases.map((one) => one.freshness.getAgeMs());
-      expect(Math.min(...ages)).toBeGreaterThanOrEqual(lastMs + stepMs);
-      lastMs = Math.min(...ages);
-      for (const one of cases) one.state.nowMs += stepMs;
-    }
-    for (const one of cases) expect(one.freshness.isCurrent()).toBe(false);
-  });
-
-  it("holds with the store down when a majority of domains is reached", () => {
-    const b = createMember("b", "d2", lost);
-    const c = createMember("c", "d3", lost);
-    expect(createCase([b]).freshness.isCurrent()).toBe(true);
-    const four = ["d1", "d2", "d3", "d4"];
-    expect(createCase([b], four).freshness.isCurrent()).toBe(false);
-    expect(createCase([b, c], four).freshness.isCurrent()).toBe(true);
-    expect(createCase([b, c], []).freshness.isCurrent()).toBe(false);
-  });
-
-  it("leaves no gap before an outage is known, and one read's time after it", () => {
-    const failing = {
-      storeSeenMsAgo: 100,
-      isStoreFailing: true,
-      relayedStoreSeenMsAgo: 60_000,
-    };
-    const { state, freshness } = createCase(
-      [createMember("b", "d2", failing)],
-      undefined,
-      { answeredAtMs: 99_900, isFailing: true },
-    );
-    expect(freshness.isCurrent()).toBe(true);
-    state.isFailing = false;
-    state.answeredAtMs = state.nowMs;
-    state.nowMs += 1_900;
-    expect(freshness.isCurrent()).toBe(true);
-    state.nowMs += 200;
-    expect(freshness.isCurrent()).toBe(false);
-  });
-
-  it("refuses when a reached peer reaches the store or has newer keys", () => {
-    const b = createMember("b", "d2", lost);
-    const seesStore = createMember("c", "d3", {
-      ...lost,
-      storeSeenMsAgo: 1_500,
-      keysRevision: 6,
-    });
-    expect(createCase([b, seesStore]).freshness.isCurrent()).toBe(false);
-    const newer = createMember("c", "d3", { ...lost, keysRevision: 6 });
-    expect(createCase([b, newer]).freshness.isCurrent()).toBe(false);
-    const self = createCase([b], undefined, { answeredAtMs: 99_000 });
-    expect(self.freshness.isCurrent()).toBe(false);
-  });
-
-  it("does not count the own domain when its other members are out of reach", () => {
-    const away = createMember("a2", "d1", lost, 9_000);
-    expect(createCase([away], ["d1"]).freshness.isCurrent()).toBe(false);
-    expect(createCase([], ["d1"]).freshness.isCurrent()).toBe(true);
-  });
-
-  it("follows the store through real peers and ends in an isolated instance", async () => {
-    const store = Fakes.createFakeStore();
-    store.put("keys", Fakes.createKeysRecord(["k1"]));
-    const domains = ["uusimaa-1", "uusimaa-2", "pirkanmaa-1"];
-    const a = await start("a", [], store, { domains });
-    const b = await start("b", [a.address], store, {
-      domain: "uusimaa-2",
-      domains,
-      isCut: () => true,
-    });
-    await vi.waitFor(() => expect(b.freshness.isCurrent()).toBe(true), WAIT);
-    // Evidence is renewed, not only remembered.
-    const until = performance.now() + 6_000;
-    while (performance.now() < until) {
-      expect(b.freshness.isCurrent()).toBe(true);
-      await new Promise((done) => setTimeout(done, 50));
-    }
-    const stoppedAt = performance.now();
-    await a.stop();
-    await vi.waitFor(() => expect(b.freshness.isCurrent()).toBe(false), WAIT);
-    expect(performance.now() - stoppedAt).toBeLessThan(5_000);
+    expect(count(ids.map((id) => Helpers.createMember(id, "d1", {}, 9_000))))
+      .toBe(5);
   });
 });
