Split the at-most-once step of admission by the instance's part

Change: once.ts decides between the two, once_run.ts claims, runs and settles at the owner, once_relay.ts passes on to the owner, once_shared.ts has what both need. Functions moved unchanged.

--- /dev/null
+++ b/src/admission/once_shared.ts
@@ -0,0 +1,28 @@
+/** What the steps of a request on a `once` route share. */
+import type * as Contracts from "../contracts.ts";
+import * as Respond from "../forward/respond.ts";
+import type * as Context from "./context.ts";
+import type * as Run from "./run.ts";
+
+/** Header in which the caller sends its ticket. */
+export const TICKET_HEADER = "idempotency-key";
+
+/** A ticket with a good MAC, of the caller's account and the route's service. */
+export type VerifiedTicket = Contracts.Ticket & { readonly isExpired: boolean };
+
+/** Writes a refusal with a code and an outcome. */
+export function refuse(
+  ctx: Context.Context,
+  ...args: Parameters<typeof Respond.refuse>
+): Run.RunResult {
+  return finishRefused(ctx, Respond.refuse(...args));
+}
+
+/** Writes a refusal. */
+export function finishRefused(
+  ctx: Context.Context,
+  refusal: Respond.Refusal,
+): Run.RunResult {
+  Respond.sendRefusal(ctx.res, refusal, ctx.id);
+  return { kind: "refused", refusal };
+}
