Share the set-up of the platform client tests

Change: tests/support/platform_rig.ts does it for both; each file keeps its own reset of faults after each test. Test names and checks are unchanged. Conclusion: nothing else changes.

--- a/tests/platform_test.ts
+++ b/tests/platform_test.ts
@@ -1,73 +1,50 @@
 import * as fc from "fast-check";
 import { request } from "undici";
-import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it } from "vitest";
 import * as Clock from "../src/clock.ts";
 import * as Client from "../src/platform/client.ts";
-import * as ResultCodes from "../src/result_codes.ts";
-import * as Platform from "../testing/harness/platform.ts";
-import * as Process from "../testing/harness/process.ts";
 import * as Registration from "../testing/platform/registration.ts";
 import * as Wait from "../testing/harness/wait.ts";
+import * as Rig from "./support/platform_rig.ts";
 
-const TIMEOUT_MS = 600;
-
-let platform: Platform.PlatformProcess;
-let client: Client.ClosablePlatformClient;
-let keys = 0;
-
-/** A key that no other test uses. */
-function newKey(): string {
-  return `test/${++keys}`;
-}
-
-function getCode(
-  res: { isErr(): boolean; unwrapErr(): ResultCodes.Failure },
-): string {
-  return res.isErr() ? res.unwrapErr().code.name : "ok";
-}
-
-beforeAll(async () => {
-  platform = await Platform.startPlatform();
-  const address = platform.address;
-  client = Client.createPlatformClient({ address, timeoutMs: TIMEOUT_MS });
-});
+const rig = Rig.createPlatformRig();
 
 afterEach(async () => {
-  await platform.setFaults({ listLagMs: 0 });
-});
-
-afterAll(async () => {
-  await client.close();
-  await Process.killAll();
+  await rig.platform.setFaults({ listLagMs: 0 });
 });
 
 describe("records", () => {
   it("guards against two concurrent writers that both believe they won", async () => {
-    const key = newKey();
+    const key = rig.newKey();
     const results = await Promise.all(
       Array.from(
         { length: 40 },
-        (_, i) => client.cas(key, 0, `v${i}`, { writeId: `race-${key}-${i}` }),
+        (_, i) =>
+          rig.client.cas(key, 0, `v${i}`, { writeId: `race-${key}-${i}` }),
       ),
     );
     const winners = results.flatMap((res, i) => res.isOk() ? [i] : []);
     expect(winners).toHaveLength(1);
-    const losers = results.filter((res) => res.isErr()).map(getCode);
+    const losers = results.filter((res) => res.isErr()).map(Rig.getCode);
     expect(new Set(losers)).toEqual(new Set(["store-conflict"]));
-    const entry = (await client.get(key)).unwrap();
+    const entry = (await rig.client.get(key)).unwrap();
     expect(entry?.value).toBe(`v${winners[0]}`);
     expect(entry?.version).toBe(results[winners[0] ?? 0]?.unwrap());
   });
 
   it("guards against a version that is used again after a removal", async () => {
-    const key = newKey();
-    const first = (await client.cas(key, 0, "a", { writeId: "a" })).unwrap();
-    (await client.remove(key, first)).unwrap();
-    expect((await client.get(key)).unwrap()).toBeUndefined();
-    const second = (await client.cas(key, 0, "b", { writeId: "b" })).unwrap();
+    const key = rig.newKey();
+    const first = (await rig.client.cas(key, 0, "a", { writeId: "a" }))
+      .unwrap();
+    (await rig.client.remove(key, first)).unwrap();
+    expect((await rig.client.get(key)).unwrap()).toBeUndefined();
+    const second = (await rig.client.cas(key, 0, "b", { writeId: "b" }))
+      .unwrap();
     expect(second).toBeGreaterThan(first);
-    expect(getCode(await client.remove(key, first))).toBe("store-conflict");
-    expect((await client.get(key)).unwrap()?.value).toBe("b");
+    expect(Rig.getCode(await rig.client.remove(key, first))).toBe(
+      "store-conflict",
+    );
+    expect((await rig.client.get(key)).unwrap()?.value).toBe("b");
   });
 
   it("guards against a store that differs from a map with versions", async () => {
@@ -78,40 +55,44 @@
     });
     await fc.assert(
       fc.asyncProperty(fc.array(op, { maxLength: 12 }), async (ops) => {
-        const prefix = `${newKey()}/`;
+        const prefix = `${rig.newKey()}/`;
         const model = new Map<string, { value: string; version: number }>();
         for (const [i, { kind, name, value }] of ops.entries()) {
           const key = prefix + name;
           const version = model.get(key)?.version ?? 0;
           const writeId = `${prefix}${i}`;
           if (kind === "remove") {
-            const res = await client.remove(key, Math.max(version, 1));
+            const res = await rig.client.remove(key, Math.max(version, 1));
             expect(res.isOk()).toBe(version > 0);
             model.delete(key);
           } else if (kind === "cas") {
-            const res = await client.cas(key, version, value, { writeId });
+            const res = await rig.client.cas(key, version, value, { writeId });
             model.set(key, { value, version: res.unwrap() });
           } else {
-            const res = await client.cas(key, version + 1, value, { writeId });
-            expect(getCode(res)).toBe("store-conflict");
+            const res = await rig.client.cas(key, version + 1, value, {
+              writeId,
+            });
+            expect(Rig.getCode(res)).toBe("store-conflict");
           }
         }
         const expected = [...model].map(([key, one]) => ({ key, ...one }))
           .sort((a, b) => a.key < b.key ? -1 : 1);
-        expect((await client.list(prefix)).unwrap()).toEqual(expected);
+        expect((await rig.client.list(prefix)).unwrap()).toEqual(expected);
       }),
       { numRuns: 25, verbose: 1 },
     );
   });
 
   it("guards against a value over the limit reaching the store", async () => {
-    const key = newKey();
+    const key = rig.newKey();
     const fits = "é".repeat(Client.MAX_VALUE_BYTES / 2);
-    (await client.cas(key, 0, fits, { writeId: "fits" })).unwrap();
-    expect((await client.get(key)).unwrap()?.value).toBe(fits);
-    const res = await client.cas(newKey(), 0, `${fits}x`, { writeId: "over" });
-    expect(getCode(res)).toBe("value-too-large");
-    const raw = await put(newKey(), { ...CAS, value: `${fits}x` });
+    (await rig.client.cas(key, 0, fits, { writeId: "fits" })).unwrap();
+    expect((await rig.client.get(key)).unwrap()?.value).toBe(fits);
+    const res = await rig.client.cas(rig.newKey(), 0, `${fits}x`, {
+      writeId: "over",
+    });
+    expect(Rig.getCode(res)).toBe("value-too-large");
+    const raw = await put(rig.newKey(), { ...CAS, value: `${fits}x` });
     expect(raw).toBe(413);
   });
 });
@@ -120,10 +101,13 @@
 
 async function put(key: string, body: unknown): Promise<number> {
   const query = new URLSearchParams({ key });
-  const res = await request(`http://${platform.address}/v1/entry?${query}`, {
-    method: "PUT",
-    body: typeof body === "string" ? body : JSON.stringify(body),
-  });
+  const res = await request(
+    `http://${rig.platform.address}/v1/entry?${query}`,
+    {
+      method: "PUT",
+      body: typeof body === "string" ? body : JSON.stringify(body),
+    },
+  );
   await res.body.dump();
   return res.statusCode;
 }
@@ -141,11 +125,11 @@
     ["a number as lease", { ...CAS, leaseId: 7 }],
   ])("guards against a write with %s taking effect", async (_, body) => {
     expect(await put(key, body)).toBe(400);
-    expect((await client.get(key)).unwrap()).toBeUndefined();
+    expect((await rig.client.get(key)).unwrap()).toBeUndefined();
   });
 
   it("guards against unknown paths, methods and numbers passing as good", async () => {
-    const base = `http://${platform.address}`;
+    const base = `http://${rig.platform.address}`;
     const getStatus = async (path: string, method: "GET" | "POST" = "GET") => {
       const res = await request(base + path, { method });
       await res.body.dump();
@@ -162,62 +146,66 @@
 
 describe("leases", () => {
   it("guards against keys that outlive their lease", async () => {
-    const [kept, gone] = [newKey(), newKey()];
-    const lease = (await client.grantLease(300)).unwrap();
+    const [kept, gone] = [rig.newKey(), rig.newKey()];
+    const lease = (await rig.client.grantLease(300)).unwrap();
     const opts = { writeId: "w", leaseId: lease };
-    (await client.cas(kept, 0, "v", { writeId: "w" })).unwrap();
-    (await client.cas(gone, 0, "v", opts)).unwrap();
-    const isGone = async () => (await client.get(gone)).unwrap() === undefined;
+    (await rig.client.cas(kept, 0, "v", { writeId: "w" })).unwrap();
+    (await rig.client.cas(gone, 0, "v", opts)).unwrap();
+    const isGone = async () =>
+      (await rig.client.get(gone)).unwrap() === undefined;
     await Wait.waitFor(isGone, 2_000, "expiry of the lease");
-    expect((await client.get(kept)).unwrap()?.value).toBe("v");
-    expect(getCode(await client.renewLease(lease))).toBe("lease-lapsed");
-    const late = await client.cas(newKey(), 0, "v", opts);
-    expect(getCode(late)).toBe("lease-lapsed");
+    expect((await rig.client.get(kept)).unwrap()?.value).toBe("v");
+    expect(Rig.getCode(await rig.client.renewLease(lease))).toBe(
+      "lease-lapsed",
+    );
+    const late = await rig.client.cas(rig.newKey(), 0, "v", opts);
+    expect(Rig.getCode(late)).toBe("lease-lapsed");
   });
 
   it("guards against a lease that ends although it is renewed", async () => {
-    const key = newKey();
-    const leaseId = (await client.grantLease(800)).unwrap();
-    (await client.cas(key, 0, "v", { writeId: "w", leaseId })).unwrap();
+    const key = rig.newKey();
+    const leaseId = (await rig.client.grantLease(800)).unwrap();
+    (await rig.client.cas(key, 0, "v", { writeId: "w", leaseId })).unwrap();
     for (let i = 0; i < 10; i++) {
       await Clock.sleep(150);
-      (await client.renewLease(leaseId)).unwrap();
+      (await rig.client.renewLease(leaseId)).unwrap();
     }
-    expect((await client.get(key)).unwrap()?.value).toBe("v");
-    (await client.releaseLease(leaseId)).unwrap();
-    expect((await client.get(key)).unwrap()).toBeUndefined();
-    (await client.releaseLease(leaseId)).unwrap();
+    expect((await rig.client.get(key)).unwrap()?.value).toBe("v");
+    (await rig.client.releaseLease(leaseId)).unwrap();
+    expect((await rig.client.get(key)).unwrap()).toBeUndefined();
+    (await rig.client.releaseLease(leaseId)).unwrap();
   });
 });
 
 describe("watches", () => {
   it("guards against a watch that wakes for keys outside its prefix", async () => {
-    const key = newKey();
-    const { revision } = (await client.watch(key, 0, 0)).unwrap();
-    const pending = client.watch(key, revision, 150);
-    (await client.cas(newKey(), 0, "x", { writeId: "x" })).unwrap();
+    const key = rig.newKey();
+    const { revision } = (await rig.client.watch(key, 0, 0)).unwrap();
+    const pending = rig.client.watch(key, revision, 150);
+    (await rig.client.cas(rig.newKey(), 0, "x", { writeId: "x" })).unwrap();
     expect((await pending).unwrap().isChanged).toBe(false);
   });
 
   it("guards against a removal that a watch does not see, and against lost records without change", async () => {
-    const key = newKey();
-    const version = (await client.cas(key, 0, "a", { writeId: "1" })).unwrap();
-    const seen = (await client.watch(key, 0, 0)).unwrap();
-    const same = (await client.watch(key, seen.revision, 20)).unwrap();
+    const key = rig.newKey();
+    const version = (await rig.client.cas(key, 0, "a", { writeId: "1" }))
+      .unwrap();
+    const seen = (await rig.client.watch(key, 0, 0)).unwrap();
+    const same = (await rig.client.watch(key, seen.revision, 20)).unwrap();
     expect(same).toMatchObject({ isChanged: false, entries: seen.entries });
-    (await client.remove(key, version)).unwrap();
-    const next = (await client.watch(key, seen.revision, 2_000)).unwrap();
+    (await rig.client.remove(key, version)).unwrap();
+    const next = (await rig.client.watch(key, seen.revision, 2_000)).unwrap();
     expect(next).toMatchObject({ isChanged: true, entries: [] });
   });
 
   it("guards against a cancelled watch that goes on", async () => {
     const abort = new AbortController();
-    const { revision } = (await client.watch("none", 0, 0)).unwrap();
-    const pending = client.watch("none", revision, 30_000, abort.signal);
+    const { revision } = (await rig.client.watch("none", 0, 0)).unwrap();
+    const pending = rig.client.watch("none", revision, 30_000, abort.signal);
     abort.abort();
     expect((await pending).isErr()).toBe(true);
     await Wait.waitFor(
-      async () => (await platform.getCounters()).pendingWatches === 0,
+      async () => (await rig.platform.getCounters()).pendingWatches === 0,
       2_000,
       "the end of the watch at the platform",
     );
@@ -236,7 +224,7 @@
   } as const;
 
   async function getState(): Promise<string> {
-    const found = (await client.listInstances()).unwrap();
+    const found = (await rig.client.listInstances()).unwrap();
     return found.find((one) => one.id === "t1")?.state ?? "absent";
   }
 
@@ -244,10 +232,10 @@
     Wait.waitFor(async () => await getState() === state, 3_000, state);
 
   it("guards against a list that misses arrivals, states, removals and silent deaths", async () => {
-    const opts = { platform: platform.address, instance, ttlMs: 400 };
+    const opts = { platform: rig.platform.address, instance, ttlMs: 400 };
     const first = Registration.createRegistration(opts);
     await waitForState("live");
-    expect((await client.listInstances()).unwrap()).toEqual([instance]);
+    expect((await rig.client.listInstances()).unwrap()).toEqual([instance]);
     expect(await first.setState("leaving")).toBe(true);
     expect(await getState()).toBe("leaving");
     await first.stop({ remove: true });
@@ -259,32 +247,32 @@
   });
 
   it("guards against a lag that shows the present, and a list that goes back in time", async () => {
-    const opts = { platform: platform.address, instance, ttlMs: 400 };
+    const opts = { platform: rig.platform.address, instance, ttlMs: 400 };
     const registration = Registration.createRegistration(opts);
     await waitForState("live");
-    await platform.setFaults({ listLagMs: 500 });
+    await rig.platform.setFaults({ listLagMs: 500 });
     const changedAt = performance.now();
     await registration.setState("leaving");
     expect(await getState()).toBe("live");
     await waitForState("leaving");
     expect(performance.now() - changedAt).toBeGreaterThanOrEqual(490);
-    await platform.setFaults({ listLagMs: 100_000 });
+    await rig.platform.setFaults({ listLagMs: 100_000 });
     expect(await getState()).toBe("leaving");
-    await platform.setFaults({ listLagMs: 0 });
+    await rig.platform.setFaults({ listLagMs: 0 });
     await registration.stop({ remove: true });
   });
 });
 
 describe("call counters", () => {
   it("guards against calls that are not counted", async () => {
-    await platform.resetCounters();
-    await client.get("a");
-    await client.list("a");
-    const { revision } = (await client.watch("a", 0, 0)).unwrap();
-    const pending = client.watch("a", revision, 200);
+    await rig.platform.resetCounters();
+    await rig.client.get("a");
+    await rig.client.list("a");
+    const { revision } = (await rig.client.watch("a", 0, 0)).unwrap();
+    const pending = rig.client.watch("a", revision, 200);
     const counters = await Wait.waitFor(
       async () => {
-        const now = await platform.getCounters();
+        const now = await rig.platform.getCounters();
         return now.pendingWatches === 1 ? now : undefined;
       },
       2_000,
@@ -292,6 +280,6 @@
     );
     expect(counters.byOp).toEqual({ get: 1, list: 1, watch: 2 });
     await pending;
-    expect((await platform.getCounters()).total).toBe(4);
+    expect((await rig.platform.getCounters()).total).toBe(4);
   });
 });
