Read JSON objects in one place

Change: src/json.ts has JsonObject, isObject and tryParseObject; config, keys, peer, platform, burn, the tool and testing/ use it. Conclusion: the same checks, written once.

--- a/src/burn/snapshot.ts
+++ b/src/burn/snapshot.ts
@@ -1,12 +1,9 @@
 /** Reads the snapshots that instances answer to `report.burn`. */
+import * as Json from "../json.ts";
 import type * as Metrics from "../metrics/metrics.ts";
 import type * as Latency from "../metrics/latency.ts";
 import type * as Windows from "../metrics/windows.ts";
 
-function isObject(value: unknown): value is Readonly<Record<string, unknown>> {
-  return typeof value === "object" && value !== null && !Array.isArray(value);
-}
-
 function isCount(value: unknown): value is number {
   return typeof value === "number" && Number.isFinite(value) && value >= 0;
 }
@@ -14,7 +11,7 @@
 function isWindow(value: unknown): value is Windows.EncodedWindow {
   if (!Array.isArray(value) || value.length !== 6) return false;
   const [refused] = value.slice(5);
-  return value.slice(0, 5).every(isCount) && isObject(refused) &&
+  return value.slice(0, 5).every(isCount) && Json.isObject(refused) &&
     Object.values(refused).every(isCount);
 }
 
@@ -24,7 +21,7 @@
 }
 
 function isSeries(value: unknown): value is Metrics.SeriesSnapshot {
-  return isObject(value) && typeof value["service"] === "string" &&
+  return Json.isObject(value) && typeof value["service"] === "string" &&
     typeof value["account"] === "string" &&
     Array.isArray(value["windows"]) && value["windows"].every(isWindow) &&
     Array.isArray(value["latency"]) && value["latency"].every(isLatency);
@@ -34,7 +31,7 @@
 export function tryReadSnapshot(
   raw: unknown,
 ): Metrics.BurnSnapshot | undefined {
-  const isGood = isObject(raw) && typeof raw["instance"] === "string" &&
+  const isGood = Json.isObject(raw) && typeof raw["instance"] === "string" &&
     isCount(raw["sinceWallMs"]) && isCount(raw["nowWallMs"]) &&
     Array.isArray(raw["series"]) && raw["series"].every(isSeries);
   return isGood ? raw as unknown as Metrics.BurnSnapshot : undefined;
--- a/src/cli/store_records.ts
+++ b/src/cli/store_records.ts
@@ -1,6 +1,7 @@
 /** Reads and writes the store's `table` and `keys` records. */
 import { Ok, type Result } from "ts-results-es";
 import type * as Contracts from "../contracts.ts";
+import * as Json from "../json.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
 
@@ -15,23 +16,19 @@
 export const MAX_VALUE_BYTES = 1_000_000;
 const WRITE_ATTEMPTS = 3;
 
-function isObject(value: unknown): value is Readonly<Record<string, unknown>> {
-  return typeof value === "object" && value !== null && !Array.isArray(value);
-}
-
 function isTableRecord(value: unknown): boolean {
-  return isObject(value) && typeof value["writeId"] === "string" &&
+  return Json.isObject(value) && typeof value["writeId"] === "string" &&
     typeof value["by"] === "string" && typeof value["csv"] === "string";
 }
 
 function isKeyEntry(value: unknown): boolean {
-  return isObject(value) && typeof value["id"] === "string" &&
+  return Json.isObject(value) && typeof value["id"] === "string" &&
     typeof value["digest"] === "string";
 }
 
 function isKeysRecord(value: unknown): boolean {
-  return isObject(value) && typeof value["writeId"] === "string" &&
-    isObject(value["accounts"]) &&
+  return Json.isObject(value) && typeof value["writeId"] === "string" &&
+    Json.isObject(value["accounts"]) &&
     Object.values(value["accounts"]).every((keys) =>
       Array.isArray(keys) && keys.every(isKeyEntry)
     ) &&
@@ -134,5 +131,5 @@
 
 function hasWriteId(value: string, writeId: string): boolean {
   const parsed = tryParse(value);
-  return isObject(parsed) && parsed["writeId"] === writeId;
+  return Json.isObject(parsed) && parsed["writeId"] === writeId;
 }
--- a/src/cli/table_commands.ts
+++ b/src/cli/table_commands.ts
@@ -39,15 +39,19 @@
   return Context.EXIT.table;
 }
 
+async function readStored(ctx: Context.Context) {
+  const platform = Context.getPlatform(ctx);
+  if (platform.isErr()) return platform;
+  return await StoreRecords.readTable(platform.value);
+}
+
 /** Writes the store's table to FILE, and its base next to it. */
 export async function pull(
   ctx: Context.Context,
   path: string,
   opts: { readonly force?: boolean },
 ): Context.Outcome {
-  const platform = Context.getPlatform(ctx);
-  if (platform.isErr()) return platform;
-  const stored = await StoreRecords.readTable(platform.value);
+  const stored = await readStored(ctx);
   if (stored.isErr()) return stored;
   const { revision, record } = stored.value;
   if (record === undefined) {
@@ -163,9 +167,7 @@
 export async function loadTable(
   ctx: Context.Context,
 ): Promise<Result<Types.Table, ResultCodes.Failure>> {
-  const platform = Context.getPlatform(ctx);
-  if (platform.isErr()) return platform;
-  const stored = await StoreRecords.readTable(platform.value);
+  const stored = await readStored(ctx);
   if (stored.isErr()) return stored;
   const { revision, record } = stored.value;
   if (record === undefined) {
--- a/src/config/fetcher.ts
+++ b/src/config/fetcher.ts
@@ -1,6 +1,7 @@
 /** Gets records from peers that have a higher revision. */
 import * as ClockModule from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
+import * as Json from "../json.ts";
 import * as Log from "../log.ts";
 import * as Tasks from "../peer/tasks.ts";
 import * as ResultCodes from "../result_codes.ts";
@@ -113,7 +114,7 @@
       CALL_TIMEOUT_MS,
     );
     if (res.isErr()) return logFailure(key, id, res.error);
-    if (!Records.isObject(res.value)) return;
+    if (!Json.isObject(res.value)) return;
     const { revision, record } = res.value;
     if (!Records.isRevision(revision)) return;
     args.take(key, { revision, record }, id);
--- a/src/config/records.ts
+++ b/src/config/records.ts
@@ -1,5 +1,6 @@
 /** The two records that the operators' configuration consists of. */
 import { Err, Ok, type Result } from "ts-results-es";
+import * as Json from "../json.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
 
@@ -39,13 +40,6 @@
   readonly revision: number;
 }
 
-/** True for a JSON object. */
-export function isObject(
-  value: unknown,
-): value is { readonly [key: string]: unknown } {
-  return typeof value === "object" && value !== null && !Array.isArray(value);
-}
-
 /** True for a revision: a whole number, 0 or more. */
 export function isRevision(value: unknown): value is number {
   return Number.isSafeInteger(value) && Number(value) >= 0;
@@ -66,7 +60,9 @@
 export function parseTableRecord(
   raw: unknown,
 ): Result<Types.TableRecord, ResultCodes.Failure> {
-  if (!isObject(raw)) return ResultCodes.fail("storeError", "table record");
+  if (!Json.isObject(raw)) {
+    return ResultCodes.fail("storeError", "table record");
+  }
   const { writeId, by, csv } = raw;
   const fields = [writeId, by, csv];
   if (fields.every((field) => typeof field === "string")) {
@@ -79,7 +75,7 @@
 export function parseGet(
   raw: unknown,
 ): Result<GetParams, ResultCodes.Failure> {
-  const key = isObject(raw) ? raw.key : undefined;
+  const key = Json.isObject(raw) ? raw.key : undefined;
   if (key === "table" || key === "keys") return Ok({ key });
   return ResultCodes.fail("peerMessage", "config: key");
 }
--- a/src/keys/keys.ts
+++ b/src/keys/keys.ts
@@ -2,6 +2,7 @@
 import * as Crypto from "node:crypto";
 import { Ok, type Result } from "ts-results-es";
 import type * as Contracts from "../contracts.ts";
+import * as Json from "../json.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
 
@@ -17,14 +18,8 @@
   return Crypto.createHash("sha256").update(key).digest("hex");
 }
 
-function isObject(
-  value: unknown,
-): value is { readonly [key: string]: unknown } {
-  return typeof value === "object" && value !== null && !Array.isArray(value);
-}
-
 function isKeyEntry(value: unknown): boolean {
-  return isObject(value) && typeof value.id === "string" &&
+  return Json.isObject(value) && typeof value.id === "string" &&
     isDigest(value.digest);
 }
 
@@ -39,13 +34,13 @@
 ): Result<Types.KeysRecord, ResultCodes.Failure> {
   const fail = (what: string) =>
     ResultCodes.fail("storeError", `keys record: ${what}`);
-  if (!isObject(raw)) return fail("not an object");
+  if (!Json.isObject(raw)) return fail("not an object");
   const { writeId, accounts, withdrawn } = raw;
   if (typeof writeId !== "string") return fail("writeId");
   if (!Array.isArray(withdrawn) || !withdrawn.every(isDigest)) {
     return fail("withdrawn");
   }
-  if (!isObject(accounts)) return fail("accounts");
+  if (!Json.isObject(accounts)) return fail("accounts");
   for (const [account, entries] of Object.entries(accounts)) {
     const isGood = Array.isArray(entries) && entries.every(isKeyEntry);
     if (!isGood) return fail(`account ${account}`);
--- a/src/peer/connection.ts
+++ b/src/peer/connection.ts
@@ -1,6 +1,7 @@
 /** JSON-RPC 2.0 in both directions over one authenticated connection. */
 import * as JsonRpc from "json-rpc-2.0";
 import { Ok, type Result } from "ts-results-es";
+import * as Json from "../json.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Handshake from "./handshake.ts";
 import type * as LineSocket from "./line_socket.ts";
@@ -119,7 +120,7 @@
   }
 
   function receive(line: string): void {
-    const message = Wire.tryParseObject(line);
+    const message = Json.tryParseObject(line);
     if (message === undefined) return socket.close("malformed message");
     if (JsonRpc.isJSONRPCRequest(message)) return void answer(message);
     if (JsonRpc.isJSONRPCResponse(message)) return client.receive(message);
--- a/src/peer/handshake.ts
+++ b/src/peer/handshake.ts
@@ -13,6 +13,7 @@
  */
 import * as Crypto from "node:crypto";
 import { Ok, type Result } from "ts-results-es";
+import * as Json from "../json.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
 import type * as LineSocket from "./line_socket.ts";
@@ -86,7 +87,7 @@
 }
 
 function tryReadIdentity(raw: unknown): Identity | undefined {
-  if (!Wire.isObject(raw)) return undefined;
+  if (!Json.isObject(raw)) return undefined;
   const { id, incarnation, role, seq } = raw;
   if (!isName(id) || !isName(incarnation)) return undefined;
   if (role !== "peer" && role !== "tool") return undefined;
@@ -97,7 +98,7 @@
 function tryReadIntroduction(
   raw: unknown,
 ): { readonly identity: Identity; readonly nonce: string } | undefined {
-  if (!Wire.isObject(raw)) return undefined;
+  if (!Json.isObject(raw)) return undefined;
   const identity = tryReadIdentity(raw.identity);
   const { nonce } = raw;
   if (identity === undefined) return undefined;
@@ -116,7 +117,7 @@
 
 async function readObject(socket: LineSocket.LineSocket) {
   const line = await socket.read(HANDSHAKE_STEP_TIMEOUT_MS);
-  return line === undefined ? undefined : Wire.tryParseObject(line);
+  return line === undefined ? undefined : Json.tryParseObject(line);
 }
 
 /** Authenticates as the side that connected; the result is the other side. */
@@ -156,7 +157,7 @@
   const first = (await readObject(socket))?.hello;
   const hello = tryReadIntroduction(first);
   if (hello === undefined) return failRead(socket, "the hello");
-  if (Wire.isObject(first) && first.version !== VERSION) {
+  if (Json.isObject(first) && first.version !== VERSION) {
     return ResultCodes.fail("peerMessage", `version ${first.version}`);
   }
   const acceptorNonce = createNonce();
--- a/src/peer/heartbeat.ts
+++ b/src/peer/heartbeat.ts
@@ -10,8 +10,8 @@
  * earlier than `heldMs` after the receiver sent the echoed one. A heartbeat that
  * was delayed in a buffer, or read late by a paused process, never looks young.
  */
+import * as Json from "../json.ts";
 import type * as Types from "../types.ts";
-import * as Wire from "./wire.ts";
 
 /** Ages are cut off here, as JSON has no infinity; about 11 days. */
 export const MAX_AGE_MS = 1e9;
@@ -46,7 +46,7 @@
 
 /** Checks the shape of a whole heartbeat, for example from `members.list`. */
 export function tryReadHeartbeat(raw: unknown): Types.Heartbeat | undefined {
-  if (!Wire.isObject(raw)) return undefined;
+  if (!Json.isObject(raw)) return undefined;
   const { shards, state } = raw;
   const texts = [raw.id, raw.incarnation, raw.domain, raw.region];
   const addresses = [raw.callerAddress, raw.peerAddress];
@@ -146,7 +146,7 @@
       const rare = params[RARE_INDEX];
       const heartbeat = tryReadHeartbeat({
         ...received,
-        ...(Wire.isObject(rare) ? rare : {}),
+        ...(Json.isObject(rare) ? rare : {}),
         storeSeenMsAgo,
         relayedStoreSeenMsAgo: relayed,
         load,
--- a/src/peer/listing.ts
+++ b/src/peer/listing.ts
@@ -4,9 +4,9 @@
  * since and the ages of the others. In a fleet of 620 the whole list has some
  * 200 KB, and little of it changes.
  */
+import * as Json from "../json.ts";
 import type * as Types from "../types.ts";
 import * as Heartbeat from "./heartbeat.ts";
-import * as Wire from "./wire.ts";
 
 /** One member in an answer. */
 export interface ListedMember {
@@ -87,7 +87,7 @@
     answer(params, self, others) {
       const own = { heartbeat: self, ageMs: 0, isReachable: true };
       const all = [own, ...others];
-      const since = Wire.isObject(params) ? params.version : undefined;
+      const since = Json.isObject(params) ? params.version : undefined;
       if (typeof since !== "number") return all.map(encodeMember);
       updateVersions(all);
       const isNew = ({ heartbeat }: Types.Member) =>
@@ -105,7 +105,7 @@
 }
 
 function tryReadMember(raw: unknown): ListedMember | undefined {
-  if (!Wire.isObject(raw)) return undefined;
+  if (!Json.isObject(raw)) return undefined;
   const { ageMs, isReachable } = raw;
   const heartbeat = Heartbeat.tryReadHeartbeat(raw.heartbeat);
   if (heartbeat === undefined || typeof isReachable !== "boolean") {
@@ -117,10 +117,10 @@
 
 /** Reads an answer to a call with a version; undefined when malformed. Malformed members are left out. */
 export function tryReadChanges(raw: unknown): Changes | undefined {
-  if (!Wire.isObject(raw)) return undefined;
+  if (!Json.isObject(raw)) return undefined;
   const { version, members, ages } = raw;
   if (typeof version !== "number" || !Array.isArray(members)) return undefined;
-  if (!Wire.isObject(ages)) return undefined;
+  if (!Json.isObject(ages)) return undefined;
   const isAge = (value: unknown) => typeof value === "number" && value >= 0;
   if (!Object.values(ages).every(isAge)) return undefined;
   return {
--- a/src/peer/wire.ts
+++ b/src/peer/wire.ts
@@ -67,22 +67,3 @@
 export function formatAddress(host: string, port: number): Types.Address {
   return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
 }
-
-/** True for a JSON object. */
-export function isObject(
-  value: unknown,
-): value is { readonly [key: string]: unknown } {
-  return typeof value === "object" && value !== null && !Array.isArray(value);
-}
-
-/** Parses a JSON object; undefined for anything else. */
-export function tryParseObject(
-  line: string,
-): { readonly [key: string]: unknown } | undefined {
-  try {
-    const value: unknown = JSON.parse(line);
-    return isObject(value) ? value : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -3,6 +3,7 @@
 import { Ok } from "ts-results-es";
 import * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
+import type * as Json from "../json.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
 import * as Exchange from "./exchange.ts";
@@ -75,7 +76,7 @@
         query,
       });
       if (Replies.isAbsent(reply)) return Ok(undefined);
-      const read = (body: Exchange.JsonObject) =>
+      const read = (body: Json.JsonObject) =>
         Replies.tryEntry(body["entry"])?.entry;
       return Replies.toResult(reply, read);
     },
--- a/src/platform/exchange.ts
+++ b/src/platform/exchange.ts
@@ -1,18 +1,16 @@
 /** One HTTP exchange with the platform, and what is known when it fails. */
 import { Pool } from "undici";
 import type * as Clock from "../clock.ts";
+import * as Json from "../json.ts";
 import type * as Types from "../types.ts";
 
-/** A parsed JSON object of unchecked content. */
-export type JsonObject = Readonly<Record<string, unknown>>;
-
 /** What came of a call. */
 export type Reply =
   /** The platform carried it out or refused it (status below 500). */
   | {
     readonly kind: "answered";
     readonly status: number;
-    readonly body: JsonObject;
+    readonly body: Json.JsonObject;
   }
   /** No connection: the call can't have taken effect. */
   | { readonly kind: "not-sent"; readonly detail: string }
@@ -24,7 +22,7 @@
   readonly method: "GET" | "PUT" | "POST" | "DELETE";
   readonly path: string;
   readonly query?: Readonly<Record<string, string | number>>;
-  readonly body?: JsonObject;
+  readonly body?: Json.JsonObject;
 }
 
 /** Connections to the platform. */
@@ -59,17 +57,6 @@
   return typeof code === "string" ? code : String(err);
 }
 
-function tryParseObject(text: string): JsonObject | undefined {
-  try {
-    const value: unknown = JSON.parse(text);
-    const isObject = typeof value === "object" && value !== null &&
-      !Array.isArray(value);
-    return isObject ? value as JsonObject : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 function formatPath({ path, query }: Call): string {
   const pairs = Object.entries(query ?? {});
   const params = new URLSearchParams(
@@ -113,7 +100,7 @@
       body: call.body === undefined ? null : JSON.stringify(call.body),
       signal,
     });
-    const body = tryParseObject(await readText(res.body));
+    const body = Json.tryParseObject(await readText(res.body));
     if (res.statusCode >= 500 || body === undefined) {
       isFailing = true;
       return { kind: "lost", detail: `status ${res.statusCode}` };
--- a/src/platform/replies.ts
+++ b/src/platform/replies.ts
@@ -1,6 +1,7 @@
 /** Checks the content of the platform's answers. */
 import { type Err, Ok, type Result } from "ts-results-es";
 import type * as Contracts from "../contracts.ts";
+import * as Json from "../json.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
 import type * as Exchange from "./exchange.ts";
@@ -13,10 +14,6 @@
   readonly writeId: string | undefined;
 }
 
-function isObject(value: unknown): value is Exchange.JsonObject {
-  return typeof value === "object" && value !== null && !Array.isArray(value);
-}
-
 /** True for a version or revision: an integer that is not negative. */
 export function isVersion(value: unknown): value is number {
   return Number.isSafeInteger(value) && Number(value) >= 0;
@@ -24,7 +21,7 @@
 
 /** Reads an entry; undefined when it is not one. */
 export function tryEntry(value: unknown): WrittenEntry | undefined {
-  if (!isObject(value)) return undefined;
+  if (!Json.isObject(value)) return undefined;
   const { key, value: text, version, writeId } = value;
   if (typeof key !== "string" || typeof text !== "string") return undefined;
   if (!isVersion(version)) return undefined;
@@ -50,7 +47,7 @@
 }
 
 function tryInstance(value: unknown): Types.PlatformInstance | undefined {
-  if (!isObject(value)) return undefined;
+  if (!Json.isObject(value)) return undefined;
   const { id, service, domain, region, address, slots, state } = value;
   const texts = [id, service, domain, region, address];
   if (!texts.every((text) => typeof text === "string")) return undefined;
@@ -65,8 +62,8 @@
   answer: Answer,
 ): { readonly version: number; readonly writeId: string } | undefined {
   const { error } = answer.body;
-  const current = isObject(error) ? error["current"] : undefined;
-  if (!isObject(current)) return undefined;
+  const current = Json.isObject(error) ? error["current"] : undefined;
+  if (!Json.isObject(current)) return undefined;
   const { version, writeId } = current;
   if (!isVersion(version) || typeof writeId !== "string") return undefined;
   return { version, writeId };
@@ -79,7 +76,7 @@
 export function isAbsent(reply: Exchange.Reply): boolean {
   if (reply.kind !== "answered" || reply.status !== 404) return false;
   const { error } = reply.body;
-  return isObject(error) && error["code"] === "absent";
+  return Json.isObject(error) && error["code"] === "absent";
 }
 
 /** The failure that a refusing answer stands for. */
@@ -93,7 +90,7 @@
       return ResultCodes.fail("valueTooLarge");
     default: {
       const { error } = answer.body;
-      const message = isObject(error) ? error["message"] : undefined;
+      const message = Json.isObject(error) ? error["message"] : undefined;
       const detail = `status ${answer.status}: ${message ?? ""}`;
       return ResultCodes.fail("storeError", detail);
     }
@@ -103,7 +100,7 @@
 /** Turns a reply into a value that `read` finds in the body of a 200 answer. */
 export function toResult<T>(
   reply: Exchange.Reply,
-  read: (body: Exchange.JsonObject) => T | undefined,
+  read: (body: Json.JsonObject) => T | undefined,
 ): Result<T, ResultCodes.Failure> {
   if (reply.kind !== "answered") {
     return ResultCodes.fail("storeUnreachable", reply.detail);
--- a/testing/fault_proxy/faults.ts
+++ b/testing/fault_proxy/faults.ts
@@ -1,5 +1,5 @@
 /** Faults of the proxy, for each direction. */
-import type * as HttpJson from "../http_json.ts";
+import type * as Json from "../../src/json.ts";
 
 /** Value of `truncateAfterBytes` that switches truncation off. */
 export const NEVER = -1;
@@ -92,7 +92,7 @@
 }
 
 /** Checks a patch that came over the control listener; a text names the wrong field. */
-export function checkPatch(body: HttpJson.JsonObject): FaultPatch | string {
+export function checkPatch(body: Json.JsonObject): FaultPatch | string {
   for (const [name, value] of Object.entries(body)) {
     const wrong = tryFindWrong(name, value);
     if (wrong !== undefined) return `unknown field or bad value: ${wrong}`;
--- a/testing/fault_proxy/main.ts
+++ b/testing/fault_proxy/main.ts
@@ -1,5 +1,6 @@
 /** Command line of the fault proxy, with a control listener. */
 import { Command } from "commander";
+import type * as Json from "../../src/json.ts";
 import * as HttpJson from "../http_json.ts";
 import * as Faults from "./faults.ts";
 import * as Proxy from "./proxy.ts";
@@ -17,7 +18,7 @@
 const proxy = await Proxy.createFaultProxy(opts);
 
 async function setFaults(
-  body: HttpJson.JsonObject,
+  body: Json.JsonObject,
 ): Promise<HttpJson.JsonAnswer> {
   const patch = Faults.checkPatch(body);
   if (typeof patch === "string") return HttpJson.malformed(patch);
@@ -25,7 +26,7 @@
   return { status: 200, body: proxy.getFaults() };
 }
 
-function setTarget(body: HttpJson.JsonObject): HttpJson.JsonAnswer {
+function setTarget(body: Json.JsonObject): HttpJson.JsonAnswer {
   const { target } = body;
   if (typeof target !== "string") return HttpJson.malformed("target");
   HttpJson.parseAddress(target);
--- a/testing/harness/process.ts
+++ b/testing/harness/process.ts
@@ -7,7 +7,7 @@
 import * as Path from "node:path";
 import * as Readline from "node:readline";
 import * as Url from "node:url";
-import * as HttpJson from "../http_json.ts";
+import * as Json from "../../src/json.ts";
 
 const READY_LIMIT_MS = 20_000;
 const STOP_LIMIT_MS = 30_000;
@@ -35,7 +35,7 @@
   readonly name: string;
   readonly pid: number;
   /** Fields of the ready line. */
-  readonly ready: HttpJson.JsonObject;
+  readonly ready: Json.JsonObject;
   /** A text field of the ready line, such as an address; throws when it is missing. */
   getText(field: string): string;
   /** Last lines of standard error. */
@@ -88,8 +88,8 @@
 }
 
 /** The fields when the line is a ready line. */
-function tryReady(line: string): HttpJson.JsonObject | undefined {
-  const fields = HttpJson.tryParseObject(line);
+function tryReady(line: string): Json.JsonObject | undefined {
+  const fields = Json.tryParseObject(line);
   return fields?.["ready"] === true ? fields : undefined;
 }
 
@@ -100,7 +100,7 @@
   exited: Promise<ProcessExit>,
   getLog: () => readonly string[],
   onOutput: (line: string) => void,
-): Promise<HttpJson.JsonObject> {
+): Promise<Json.JsonObject> {
   return new Promise((resolve, reject) => {
     const fail = (what: string) => {
       child.kill("SIGKILL");
--- a/testing/http_json.ts
+++ b/testing/http_json.ts
@@ -1,6 +1,7 @@
 /** JSON over HTTP for the stand-ins and their control listeners. */
 import * as Http from "node:http";
 import type * as Net from "node:net";
+import * as Json from "../src/json.ts";
 import type * as Types from "../src/types.ts";
 
 /** What a JSON handler returns: a status and a JSON-safe body. */
@@ -9,15 +10,12 @@
   readonly body: unknown;
 }
 
-/** A parsed JSON object of unchecked content. */
-export type JsonObject = Readonly<Record<string, unknown>>;
-
 /** Makes the answer of a refused request. */
 export function refuse(
   status: number,
   code: string,
   message: string,
-  more: JsonObject = {},
+  more: Json.JsonObject = {},
 ): JsonAnswer {
   return { status, body: { error: { code, message, ...more } } };
 }
@@ -44,18 +42,6 @@
     : Buffer.concat(chunks).toString("utf8");
 }
 
-/** Parses a JSON object; undefined when the text is anything else. */
-export function tryParseObject(text: string): JsonObject | undefined {
-  try {
-    const value: unknown = JSON.parse(text);
-    const isObject = typeof value === "object" && value !== null &&
-      !Array.isArray(value);
-    return isObject ? value as JsonObject : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 /** Sends an answer, unless the connection has gone. */
 export function sendJson(res: Http.ServerResponse, answer: JsonAnswer): void {
   if (res.destroyed || res.writableEnded) return;
@@ -101,7 +87,7 @@
 export type ControlHandler = (
   method: string,
   path: string,
-  body: JsonObject,
+  body: Json.JsonObject,
 ) => JsonAnswer | Promise<JsonAnswer>;
 
 const CONTROL_BODY_LIMIT_BYTES = 64 * 1024;
@@ -110,7 +96,7 @@
 export function createControlServer(handler: ControlHandler): Http.Server {
   return Http.createServer(async (req, res) => {
     const text = await readBody(req, CONTROL_BODY_LIMIT_BYTES);
-    const body = text === "" ? {} : tryParseObject(text ?? "");
+    const body = text === "" ? {} : Json.tryParseObject(text ?? "");
     const path = (req.url ?? "/").split("?")[0] ?? "/";
     if (body === undefined) return sendJson(res, malformed("not an object"));
     try {
@@ -122,6 +108,6 @@
 }
 
 /** Prints the one line by which a program says that it is ready. */
-export function printReady(fields: JsonObject): void {
+export function printReady(fields: Json.JsonObject): void {
   process.stdout.write(`${JSON.stringify({ ready: true, ...fields })}\n`);
 }
--- a/testing/load/plan.ts
+++ b/testing/load/plan.ts
@@ -1,5 +1,6 @@
 /** What a load run sends. Plans are JSON-safe, so that they can go to a process. */
 import type * as Types from "../../src/types.ts";
+import * as Json from "../../src/json.ts";
 import * as HttpJson from "../http_json.ts";
 
 /** When a caller sends. */
@@ -76,7 +77,7 @@
 
 /** Checks a plan that was read from JSON; throws naming the wrong field. */
 export function checkPlan(text: string): LoadPlan {
-  const plan = HttpJson.tryParseObject(text) as LoadPlan | undefined;
+  const plan = Json.tryParseObject(text) as LoadPlan | undefined;
   if (plan === undefined) throw new Error("the plan is not a JSON object");
   for (const name of ["durationMs", "maxRequests", "timeoutMs"] as const) {
     if (!isPositive(plan[name])) throw new Error(`plan: ${name}`);
--- a/testing/platform/faults.ts
+++ b/testing/platform/faults.ts
@@ -1,5 +1,5 @@
 /** Faults that tests switch on and off at the stand-in's control listener. */
-import type * as HttpJson from "../http_json.ts";
+import type * as Json from "../../src/json.ts";
 
 /** `refuse`: connections are refused; `hang`: they are accepted and nothing is answered. */
 export type Availability = "up" | "refuse" | "hang";
@@ -56,7 +56,7 @@
 /** Applies the given fields; a text says what is wrong with them. */
 export function patchFaults(
   faults: Faults,
-  patch: HttpJson.JsonObject,
+  patch: Json.JsonObject,
 ): Faults | string {
   for (const [name, value] of Object.entries(patch)) {
     if (!Object.hasOwn(CHECKS, name)) return `unknown fault ${name}`;
--- a/testing/platform/instance_operations.ts
+++ b/testing/platform/instance_operations.ts
@@ -1,5 +1,6 @@
 /** Registration, heartbeats and removal of instances. */
 import type * as Types from "../../src/types.ts";
+import type * as Json from "../../src/json.ts";
 import * as HttpJson from "../http_json.ts";
 import * as Operation from "./operation.ts";
 
@@ -9,7 +10,7 @@
 function parseRegistration(
   { instances }: Operation.Services,
   id: string,
-  body: HttpJson.JsonObject,
+  body: Json.JsonObject,
 ): Operation.Parsed {
   const { service, domain, region, address, slots, state, ttlMs } = body;
   for (const name of INSTANCE_TEXTS) {
@@ -36,7 +37,7 @@
 function parseHeartbeat(
   { instances }: Operation.Services,
   id: string,
-  body: HttpJson.JsonObject,
+  body: Json.JsonObject,
 ): Operation.Parsed {
   const { state } = body;
   const isGood = state === undefined || STATES.includes(String(state));
--- a/testing/platform/operation.ts
+++ b/testing/platform/operation.ts
@@ -1,4 +1,5 @@
 /** A call to the stand-in, and what checking it needs. */
+import type * as Json from "../../src/json.ts";
 import * as HttpJson from "../http_json.ts";
 import type * as Instances from "./instances.ts";
 import type * as Store from "./store.ts";
@@ -30,7 +31,7 @@
   readonly method: string;
   readonly path: string;
   readonly query: URLSearchParams;
-  readonly body: HttpJson.JsonObject;
+  readonly body: Json.JsonObject;
 }
 
 /** A checked call, or the answer that refuses it. */
@@ -42,7 +43,7 @@
 }
 
 /** A 200 answer. */
-export function ok(body: HttpJson.JsonObject): HttpJson.JsonAnswer {
+export function ok(body: Json.JsonObject): HttpJson.JsonAnswer {
   return { status: 200, body };
 }
 
--- a/testing/platform/operations.ts
+++ b/testing/platform/operations.ts
@@ -1,4 +1,5 @@
 /** The operations of the stand-in's protocol: checks a request and carries it out. */
+import type * as Json from "../../src/json.ts";
 import * as HttpJson from "../http_json.ts";
 import * as InstanceOperations from "./instance_operations.ts";
 import * as Operation from "./operation.ts";
@@ -13,7 +14,7 @@
 function parseCas(
   { store }: Operation.Services,
   key: string,
-  body: HttpJson.JsonObject,
+  body: Json.JsonObject,
 ): Operation.Parsed {
   const { expectedVersion, value, writeId, leaseId } = body;
   if (!isVersion(expectedVersion)) return HttpJson.malformed("expectedVersion");
@@ -158,7 +159,7 @@
 
 function parseGrant(
   { store }: Operation.Services,
-  body: HttpJson.JsonObject,
+  body: Json.JsonObject,
 ): Operation.Parsed {
   const { ttlMs, writeId } = body;
   if (!Operation.isInteger(ttlMs, Operation.MIN_TTL_MS, Operation.MAX_TTL_MS)) {
--- a/testing/platform/server.ts
+++ b/testing/platform/server.ts
@@ -2,6 +2,7 @@
 import * as Http from "node:http";
 import * as Clock from "../../src/clock.ts";
 import type * as Types from "../../src/types.ts";
+import * as Json from "../../src/json.ts";
 import * as HttpJson from "../http_json.ts";
 import * as Listener from "../listener.ts";
 import * as Faults from "./faults.ts";
@@ -69,7 +70,7 @@
     if (text === undefined) {
       return HttpJson.refuse(413, "value-too-large", "body");
     }
-    const body = text === "" ? {} : HttpJson.tryParseObject(text);
+    const body = text === "" ? {} : Json.tryParseObject(text);
     if (body === undefined) return HttpJson.malformed("not a JSON object");
     const url = new URL(req.url ?? "/", "http://platform");
     const { pathname: path, searchParams: query } = url;
@@ -126,7 +127,7 @@
   }
 
   async function setFaults(
-    patch: HttpJson.JsonObject,
+    patch: Json.JsonObject,
   ): Promise<HttpJson.JsonAnswer> {
     const next = Faults.patchFaults(faults, patch);
     if (typeof next === "string") return HttpJson.malformed(next);
