Give the burn report's page axes, a legend and room to scroll

Cause: seen in a browser after a run of 110 s with 8 instances: plots had no axis and no unit, a young fleet's bars filled 3% of an hour-long plot, plots and table ran over the page at 420 px, two groups of columns had the same headings (1h, 30m, full), account names broke in two lines, missing instances and alarms looked like everything else, and the refusal codes that operations.md refers to were only in the text report. The text report is unchanged (its baseline passes).

--- a/src/burn/text.ts
+++ b/src/burn/text.ts
@@ -86,12 +86,31 @@
       `instance ${one.instance} counts since ${formatTime(one.sinceWallMs)}, ` +
       `at most the last hour`
     ),
-    ...report.missing.map((one) =>
-      `instance ${one.instance} is MISSING from this report: ${one.reason}`
-    ),
+    ...formatMissing(report),
   ];
 }
 
+/** Lines for the instances whose requests are not in the report. */
+export function formatMissing(report: Report.BurnReport): readonly string[] {
+  return report.missing.map((one) =>
+    `instance ${one.instance} is MISSING from this report: ${one.reason}`
+  );
+}
+
+/** A line for each row with refusals: how many of which code. */
+export function formatCodes(report: Report.BurnReport): readonly string[] {
+  return report.rows
+    .filter((row) => row.refusedByCode.size > 0)
+    .map((row) => {
+      const parts = [...row.refusedByCode].map(([code, n]) => `E${code} ${n}`);
+      return `refused ${row.service} ${row.account}: ${parts.join(", ")}`;
+    });
+}
+
+/** Explains the burn rates. */
+export const NOTE = "burn: use of the error budget by unanswered requests; " +
+  "slow: by answers over the goal; 1.0 uses it up exactly";
+
 /** Pads cells to columns: text to the left, numbers to the right. */
 export function formatColumns(
   rows: readonly (readonly string[])[],
@@ -112,16 +131,17 @@
 /** The report for a terminal. */
 export function formatText(report: Report.BurnReport): string {
   const table = formatColumns([HEADINGS, ...report.rows.map(formatRow)], 2);
-  const codes = report.rows
-    .filter((row) => row.refusedByCode.size > 0)
-    .map((row) => {
-      const parts = [...row.refusedByCode].map(([code, n]) => `E${code} ${n}`);
-      return `refused ${row.service} ${row.account}: ${parts.join(", ")}`;
-    });
-  const note = "burn: use of the error budget by unanswered requests; " +
-    "slow: by answers over the goal; 1.0 uses it up exactly";
   const none = report.rows.length === 0 ? ["no requests were counted"] : [];
-  return [...formatHead(report), "", ...table, ...none, "", ...codes, note, ""]
+  return [
+    ...formatHead(report),
+    "",
+    ...table,
+    ...none,
+    "",
+    ...formatCodes(report),
+    NOTE,
+    "",
+  ]
     .join("\n");
 }
 
--- a/tests/burn_test.ts
+++ b/tests/burn_test.ts
@@ -171,6 +171,25 @@
     expect(html).toContain("<svg");
   });
 
+  it("labels plots and columns on the page, so that nobody has to guess scale and time", () => {
+    const a = createTestMetrics("a1");
+    a.record("alpine-club", 7);
+    a.record("alpine-club", 5, REFUSED);
+    a.advance(240_000);
+    const html = Html.formatHtml(getReport([a]));
+    expect(html).toContain("Requests per 10 s, last 5 minutes");
+    expect(html).toContain("requests per 10 s, at most 20");
+    const times = [...html.matchAll(/<span>(\d\d:\d\d:\d\d)<\/span>/g)];
+    expect(times).toHaveLength(3);
+    expect(html).toContain("refused order alpine-club: E120 5");
+    const [, head = "", body = ""] =
+      /<thead>(.*)<\/thead><tbody>\n(.*)\n<\/tbody>/.exec(html) ?? [];
+    const single = head.match(/<th [^>]*rowspan/g) ?? [];
+    const rates = head.match(/<th>/g) ?? [];
+    const cells = body.match(/<td/g) ?? [];
+    expect(cells.length).toBe(single.length + rates.length);
+  });
+
   it("refuses a snapshot of another shape instead of reporting nonsense", () => {
     const good = createTestMetrics("a1").snapshot();
     expect(Snapshot.tryReadSnapshot({ ...good, series: [1] })).toBeUndefined();
