--- a/src/cli/context.ts
+++ b/src/cli/context.ts
@@ -94,6 +94,7 @@
     case codes.storeUnreachable:
     case codes.peerUnreachable:
     case codes.peerTimeout:
+    case codes.peerAuth:
     case codes.storeWriteUnknown:
       return EXIT.unreachable;
     case codes.toolPartial:
--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -71,17 +71,27 @@
     if (result.isErr()) silent.push({ address, failure: result.error });
     else addMembers(instances, result.value);
   }
-  if (instances.size === 0) {
-    const parts = silent.map(({ address, failure }) =>
-      `${address}: ${ResultCodes.formatFailure(failure)}`
-    );
-    return ResultCodes.fail("peerUnreachable", parts.join("; "));
-  }
+  if (instances.size === 0) return failSilent(silent);
   const sorted = [...instances.values()]
     .sort((a, b) => a.id.localeCompare(b.id));
   return Ok({ instances: sorted, silent });
 }
 
+/** The failure when no given peer answered: a refused secret is no matter of the network. */
+function failSilent(silent: Fleet["silent"]) {
+  const { peerAuth, peerUnreachable } = ResultCodes.codes;
+  if (silent.every(({ failure }) => failure.code === peerAuth)) {
+    const addresses = silent.map(({ address }) => address);
+    return ResultCodes.fail("peerAuth", addresses.join(", "));
+  }
+  const parts = silent.map(({ address, failure }) => {
+    const isPlain = failure.code === peerUnreachable && failure.detail !== "";
+    const why = isPlain ? failure.detail : ResultCodes.formatFailure(failure);
+    return `${address}: ${why}`;
+  });
+  return ResultCodes.fail("peerUnreachable", parts.join("; "));
+}
+
 function addMembers(instances: Map<string, Instance>, raw: unknown): void {
   for (const member of Array.isArray(raw) ? raw.filter(isListed) : []) {
     const { id, region, state, peerAddress } = member.heartbeat;
--- a/src/cli/process_deps.ts
+++ b/src/cli/process_deps.ts
@@ -32,7 +32,9 @@
       return Ok(undefined);
     } catch (err) {
       Fs.rmSync(temporary, { force: true });
-      return ResultCodes.fail("toolFile", String(err));
+      // The name of the temporary file means nothing to the operator.
+      const reason = String(err).replaceAll(temporary, path);
+      return ResultCodes.fail("toolFile", reason);
     }
   },
 };
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -54,6 +54,8 @@
 
 new Command("anvilrouted")
   .description("Entry instance of anvilroute")
+  // A wrong command line ends like a wrong setting; help ends with 0.
+  .exitOverride((err) => process.exit(err.exitCode === 0 ? 0 : EXIT_SETTINGS))
   .requiredOption("--config <file>", "settings in TOML, see docs/settings.md")
   .action((opts: { readonly config: string }) =>
     run(opts.config).catch((err) => fail(String(err), EXIT_FAILED))
--- a/testing/fakes/tool_fleet.ts
+++ b/testing/fakes/tool_fleet.ts
@@ -68,6 +68,8 @@
   readonly id: string;
   readonly address: string;
   isDown: boolean;
+  /** Refuses the tool's secret. */
+  hasOtherSecret: boolean;
   /** Calls of `status` until a pushed record is in force. */
   delayCalls: number;
   tableRevision: number;
@@ -85,6 +87,7 @@
     id,
     address: `10.0.0.1:${port}`,
     isDown: false,
+    hasOtherSecret: false,
     delayCalls: 0,
     tableRevision: 1,
     keysRevision: 1,
@@ -179,6 +182,9 @@
         if (one === undefined || one.isDown) {
           return Promise.resolve(ResultCodes.fail("peerUnreachable", address));
         }
+        if (one.hasOtherSecret) {
+          return Promise.resolve(ResultCodes.fail("peerAuth"));
+        }
         const given = params as Record<string, unknown>;
         return Promise.resolve(Ok(answer(one, instances, method, given) as T));
       },
--- a/tests/cli_test.ts
+++ b/tests/cli_test.ts
@@ -270,6 +270,16 @@
     expect((await world.run("table pull x.csv")).exit).toBe(5);
   });
 
+  it("names the secrets when every instance refuses them: the network would be a wrong trail", async () => {
+    for (const one of world.instances) one.hasOtherSecret = true;
+    const { exit, err } = await world.run("status");
+    expect(exit).toBe(5);
+    expect(err).toContain("E204 peer-auth");
+    expect(err).toContain("Compare the secrets in the settings");
+    const absent = await world.run("--peer 10.0.0.1:99 status");
+    expect(absent.err.match(/E201/g)).toHaveLength(1);
+  });
+
   it("has examples in the help of each command", async () => {
     for (
       const name of ["table", "table apply", "key withdraw", "report burn"]
