Write terms, names and hashes one way

Cause: reading src/ as a newcomer: "look-up" next to lookup, "hand-over" next to handover, "time-out" next to timeout and one "fail-over"; the account name of open routes was three constants under three names, the store's value limit two; FNV-1a and the finalizer of MurmurHash3 stood in two modules whose relation no comment named. The warning "ledger-hand-over-failed" is now "ledger-handover-failed". Conclusion: one word and one constant for one thing. Left: the third copy of the hash in src/budget/division.ts, and "look-up" in a caller's message (code 110), which golden files hold.

--- a/src/admission/account.ts
+++ b/src/admission/account.ts
@@ -10,6 +10,7 @@
 import * as Find from "../keys/find.ts";
 import * as Relay from "../once/relay.ts";
 import * as ResultCodes from "../result_codes.ts";
+import * as Columns from "../table/columns.ts";
 import * as Context from "./context.ts";
 import type * as Run from "./run.ts";
 
@@ -70,7 +71,7 @@
 
 function getPublicCaller(): Context.Caller {
   return {
-    account: Context.PUBLIC_ACCOUNT,
+    account: Columns.PUBLIC_ACCOUNT,
     digest: undefined,
     isRelayed: false,
   };
@@ -78,7 +79,7 @@
 
 function getBudgetKey(ctx: Context.Context): string | undefined {
   const { account } = ctx.caller;
-  if (account === Context.PUBLIC_ACCOUNT) return undefined;
+  if (account === Columns.PUBLIC_ACCOUNT) return undefined;
   return `acct/${ctx.route.service}/${account}`;
 }
 
--- a/src/admission/context.ts
+++ b/src/admission/context.ts
@@ -44,9 +44,6 @@
   ) => { readonly isOnce: boolean; readonly isOpen: boolean };
 }
 
-/** Account name of callers on open routes that show no key. */
-export const PUBLIC_ACCOUNT = "public";
-
 /** Who sent a request, as far as its key says. */
 export interface Caller {
   readonly account: Types.Account;
--- a/src/admission/once.ts
+++ b/src/admission/once.ts
@@ -53,7 +53,7 @@
     return await OnceRun.serveAsOwner(deps, ctx, ticket);
   }
   // A relayed request goes on only to an instance that is known to have taken the
-  // ledger: hand-overs lead to later owners, so the way never returns here.
+  // ledger: handovers lead to later owners, so the way never returns here.
   const { issuer, incarnation } = ticket;
   const isMoved = deps.ledger.tryGetOwner(issuer, incarnation) !== undefined;
   if (ctx.caller.isRelayed && !isMoved) {
--- a/src/burn/classify.ts
+++ b/src/burn/classify.ts
@@ -8,6 +8,7 @@
  * burst of refusals called wrongful in each of them.
  */
 import * as ResultCodes from "../result_codes.ts";
+import * as Columns from "../table/columns.ts";
 import type * as Types from "../types.ts";
 import * as Windows from "../metrics/windows.ts";
 import type * as Merge from "./merge.ts";
@@ -32,8 +33,6 @@
   readonly callerFaults: number;
 }
 
-/** Queue name of requests on open routes. */
-const PUBLIC = "public";
 const TOO_MANY_REQUESTS = 429;
 
 const CALLER_FAULT_CODES: ReadonlySet<number> = new Set(
@@ -50,7 +49,9 @@
   service: Types.Service,
   account: Types.Account,
 ): Limit | undefined {
-  if (account === PUBLIC) return { rate: Infinity, burst: Infinity };
+  if (account === Columns.PUBLIC_ACCOUNT) {
+    return { rate: Infinity, burst: Infinity };
+  }
   const rules = table.services.get(service);
   if (rules === undefined || !table.accounts.includes(account)) return;
   let rate = 0;
--- a/src/cli/key_commands.ts
+++ b/src/cli/key_commands.ts
@@ -67,11 +67,11 @@
 ): Context.Outcome {
   const { account } = opts;
   const isName = Columns.NAME.test(account) &&
-    account !== Columns.RESERVED_ACCOUNT;
+    account !== Columns.PUBLIC_ACCOUNT;
   if (!isName) {
     const shown = JSON.stringify(account);
     const detail = `--account ${shown}: allowed: ${Columns.NAME_ALLOWED}, ` +
-      `not ${Columns.RESERVED_ACCOUNT}`;
+      `not ${Columns.PUBLIC_ACCOUNT}`;
     return ResultCodes.fail("toolUsage", detail);
   }
   const platform = Context.getPlatform(ctx);
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -149,7 +149,7 @@
     region: opts.from,
   };
   // An instance answers for callers of its own region. Those that a peer hears
-  // answer at once; the others may take a whole time-out.
+  // answer at once; the others may take a whole timeout.
   const isNear = (one: Fleet.Instance) => one.region === opts.from;
   const sorted = [...candidates].sort((a, b) =>
     Number(b.isHeard) - Number(a.isHeard) ||
--- a/src/cli/store_records.ts
+++ b/src/cli/store_records.ts
@@ -2,6 +2,7 @@
 import { Ok, type Result } from "ts-results-es";
 import type * as Contracts from "../contracts.ts";
 import * as Json from "../json.ts";
+import * as PlatformClient from "../platform/client.ts";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
 
@@ -12,8 +13,6 @@
   readonly record: T | undefined;
 }
 
-/** The store takes values up to 1 MB. */
-export const MAX_VALUE_BYTES = 1_000_000;
 const WRITE_ATTEMPTS = 3;
 
 function isTableRecord(value: unknown): boolean {
@@ -97,8 +96,9 @@
 ): Promise<Result<number, ResultCodes.Failure>> {
   const value = JSON.stringify(record);
   const bytes = Buffer.byteLength(value);
-  if (bytes > MAX_VALUE_BYTES) {
-    const detail = `${key}: ${bytes} bytes of at most ${MAX_VALUE_BYTES}`;
+  if (bytes > PlatformClient.MAX_VALUE_BYTES) {
+    const detail =
+      `${key}: ${bytes} bytes of at most ${PlatformClient.MAX_VALUE_BYTES}`;
     return ResultCodes.fail("valueTooLarge", detail);
   }
   const { writeId } = record;
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -28,7 +28,7 @@
   readonly entries: readonly StoreEntry[];
 }
 
-/** The platform's services, behind one narrow interface. Every call ends by itself within its time-out. */
+/** The platform's services, behind one narrow interface. Every call ends by itself within its timeout. */
 export interface PlatformClient {
   get(key: string): Promise<Result<StoreEntry | undefined, Failure>>;
   list(prefix: string): Promise<Result<readonly StoreEntry[], Failure>>;
--- a/src/daemon/servers.ts
+++ b/src/daemon/servers.ts
@@ -1,4 +1,4 @@
-/** HTTP listeners: callers (look-up, forwarding) and operators' probes. */
+/** HTTP listeners: callers (lookup, forwarding) and operators' probes. */
 import * as Http from "node:http";
 import type * as Net from "node:net";
 import type * as Contracts from "../contracts.ts";
--- a/src/drain/drain.ts
+++ b/src/drain/drain.ts
@@ -1,6 +1,6 @@
 /**
  * Graceful shutdown. Promise: a planned stop cuts no request. The instance
- * serves on until every cached look-up answer that names it has lapsed, then
+ * serves on until every cached lookup answer that names it has lapsed, then
  * hands over its ledger and shards, and ends when the last request is done.
  */
 import * as Clock from "../clock.ts";
@@ -9,7 +9,7 @@
 import type * as Log from "../log.ts";
 import type * as Types from "../types.ts";
 
-/** Time for the `leaving` heartbeat to reach the peers, which answer look-ups. */
+/** Time for the `leaving` heartbeat to reach the peers, which answer lookups. */
 const ANNOUNCE_MS = 2_000;
 const POLL_MS = 25;
 /** Requests end by their deadlines; this is a limit for faults only. */
--- a/src/lookup/block_map.ts
+++ b/src/lookup/block_map.ts
@@ -1,7 +1,7 @@
 /**
  * Client blocks (address prefixes) and the site that serves each: a sorted
  * `Uint32Array` of first addresses with a site number per block. 1.6 million
- * blocks take 9.6 MB. A look-up is a binary search and allocates nothing.
+ * blocks take 9.6 MB. A lookup is a binary search and allocates nothing.
  */
 import { Ok, type Result } from "ts-results-es";
 import * as ResultCodes from "../result_codes.ts";
--- a/src/lookup/lookup.ts
+++ b/src/lookup/lookup.ts
@@ -12,7 +12,7 @@
 import type * as Types from "../types.ts";
 import * as Order from "./order.ts";
 
-/** What look-ups need besides the request path's parts. */
+/** What lookups need besides the request path's parts. */
 export interface LookupOptions {
   readonly deps: Context.Deps;
   readonly getSelf: () => Types.Heartbeat;
@@ -27,7 +27,7 @@
 
 const MAX_TICKETS = 16;
 
-/** Creates the handler of look-ups. */
+/** Creates the handler of lookups. */
 export function createLookup(
   opts: LookupOptions,
 ): (req: Http.IncomingMessage, res: Http.ServerResponse) => void {
--- a/src/lookup/order.ts
+++ b/src/lookup/order.ts
@@ -6,7 +6,7 @@
  */
 import type * as Types from "../types.ts";
 
-/** One instance of a look-up answer. */
+/** One instance of a lookup answer. */
 export interface LookupInstance {
   readonly id: Types.InstanceId;
   readonly address: Types.Address;
--- a/src/once/handover.ts
+++ b/src/once/handover.ts
@@ -46,7 +46,7 @@
 }
 
 interface AdoptMessage {
-  /** Differs per hand-over, so that two of them never mix. */
+  /** Differs per handover, so that two of them never mix. */
   readonly transferId: string;
   readonly entries: readonly WireEntry[];
   /** Set on the last message only. */
@@ -72,7 +72,7 @@
   sweep(): void;
   /** Asks peers who answers for an issuer that this instance has not heard of. */
   findOwner(issuer: string, incarnation: string): Promise<string | undefined>;
-  /** True between the start of a hand-over and its end. */
+  /** True between the start of a handover and its end. */
   isHandingOver(): boolean;
 }
 
@@ -184,7 +184,7 @@
   }
 
   function failHandOver(to: string) {
-    log.warn("ledger-hand-over-failed", { to });
+    log.warn("ledger-handover-failed", { to });
     return ResultCodes.fail("peerTimeout", `ledger not adopted by ${to}`);
   }
 
--- a/src/once/ledger.ts
+++ b/src/once/ledger.ts
@@ -19,7 +19,7 @@
 /** Kept answers leave room for entries: a resend can do without an answer, a new order not without an entry. */
 const ANSWERS_SHARE = 0.75;
 
-/** State of a used ticket, JSON-safe for the hand-over. */
+/** State of a used ticket, JSON-safe for the handover. */
 export type EntryState =
   | { readonly kind: "running" }
   | {
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -48,7 +48,7 @@
   }
 }
 
-/** Creates the client. No call rejects, and each ends within its time-out. */
+/** Creates the client. No call rejects, and each ends within its timeout. */
 export function createPlatformClient(
   cfg: PlatformConfig,
 ): ClosablePlatformClient {
--- a/src/rendezvous.ts
+++ b/src/rendezvous.ts
@@ -1,10 +1,11 @@
 /**
  * Rendezvous hashing: every process ranks the same ids in the same order for a
  * key, and a change of the id set moves only the keys of the ids that changed.
+ * Slots of targets have a faster form of it in `src/targets/rendezvous.ts`.
  */
+import * as Hash from "./hash.ts";
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
+const SEPARATOR = 0xff;
 const TWO_POW_32 = 0x1_0000_0000;
 
 /** An id with its share of the keys; weights are relative and positive. */
@@ -13,28 +14,11 @@
   readonly weight: number;
 }
 
-function fnv1a(text: string, seed: number): number {
-  let h = seed;
-  for (let i = 0; i < text.length; i++) {
-    h = Math.imul(h ^ text.charCodeAt(i), FNV_PRIME);
-  }
-  return h;
-}
-
-/** Final mix of MurmurHash3: FNV alone leaves similar ids with similar scores. */
-function mix(hash: number): number {
-  let h = hash ^ (hash >>> 16);
-  h = Math.imul(h, 0x85ebca6b);
-  h ^= h >>> 13;
-  h = Math.imul(h, 0xc2b2ae35);
-  return (h ^ (h >>> 16)) >>> 0;
-}
-
 /** Score of an id for a key, 0 to 2^32 - 1; the same in every process. */
 export function score(key: string, id: string): number {
   // The separator keeps ("ab", "c") and ("a", "bc") apart.
-  const keyHash = Math.imul(fnv1a(key, FNV_OFFSET) ^ 0xff, FNV_PRIME);
-  return mix(fnv1a(id, keyHash));
+  const keyHash = Hash.fnvStep(Hash.fnv1a(key), SEPARATOR);
+  return Hash.mix(Hash.fnv1a(id, keyHash)) >>> 0;
 }
 
 /** All ids, highest score first; equal scores are ordered by id. */
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -13,7 +13,7 @@
     readonly region: Types.Region;
   };
   readonly listen: {
-    /** Callers: look-up and forwarding. */
+    /** Callers: lookup and forwarding. */
     readonly caller: Types.Address;
     /** Operators' probes: /healthz and /metrics. */
     readonly probe: Types.Address;
--- a/src/steering/steering.ts
+++ b/src/steering/steering.ts
@@ -5,7 +5,7 @@
  *
  * The ramp runs over shares of traffic and not over the weights of the rows: a
  * small change of a weight can move most of the spilled traffic at once.
- * What breaks it: a fail-over, which is immediate and bounded by region caps.
+ * What breaks it: a failover, which is immediate and bounded by region caps.
  */
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
--- a/src/table/columns.ts
+++ b/src/table/columns.ts
@@ -7,8 +7,8 @@
 /** What `NAME` allows, for messages. */
 export const NAME_ALLOWED =
   "lower-case letters, digits and '-', at most 63, not starting with '-'";
-/** Queue name of requests on open routes; no client account may have it. */
-export const RESERVED_ACCOUNT = "public";
+/** Account name of requests on open routes; no client account may have it. */
+export const PUBLIC_ACCOUNT = "public";
 
 /** Columns that every table has, in the order in which they are written. */
 export const FIXED_COLUMNS = [
@@ -109,8 +109,8 @@
       note("tableColumn", 1, name, name, allowed);
     } else if (!NAME.test(account)) {
       note("tableColumn", 1, name, account, NAME_ALLOWED);
-    } else if (account === RESERVED_ACCOUNT) {
-      const allowed = `any account name but ${RESERVED_ACCOUNT}`;
+    } else if (account === PUBLIC_ACCOUNT) {
+      const allowed = `any account name but ${PUBLIC_ACCOUNT}`;
       note("tableColumn", 1, name, account, allowed);
     } else {
       addAccount(accounts, account, at, note);
--- a/src/targets/pool.ts
+++ b/src/targets/pool.ts
@@ -18,7 +18,7 @@
 /** How often the list of live instances is compared with the last one. */
 const INSTANCES_CHECK_MS = 500;
 const LATENCY_CHECK_MS = 1_000;
-/** With probe interval and time-outs, targets' states are at most 3 s old after a shorter pause. */
+/** With probe interval and timeouts, targets' states are at most 3 s old after a shorter pause. */
 const PROCESS_PAUSE_MS = 1_000;
 /** A probe's longest time: a health endpoint that hangs must not keep a target out. */
 const RECHECK_LIMIT_MS = 1_500;
--- a/src/targets/prober.ts
+++ b/src/targets/prober.ts
@@ -1,6 +1,6 @@
 /**
  * Active health checks: `GET /healthz` and `GET /load` of every target, with
- * jitter. Promise: a probe ends within its time-outs, at most one per target
+ * jitter. Promise: a probe ends within its timeouts, at most one per target
  * runs, and the cost for instance and targets stays bounded however many there
  * are of either.
  */
--- a/src/targets/rendezvous.ts
+++ b/src/targets/rendezvous.ts
@@ -5,6 +5,7 @@
  * slots that it gains or loses. While views differ a slot may have two owners,
  * and then the target sheds.
  */
+import * as Hash from "../hash.ts";
 import type * as Types from "../types.ts";
 
 /** An entry instance that may own slots. */
@@ -18,23 +19,6 @@
 const WEIGHT_SAME_REGION = 2;
 const WEIGHT_OTHER = 1;
 
-/** FNV-1a over UTF-16 code units, signed 32 bits. */
-export function hashText(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let i = 0; i < text.length; i++) {
-    hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
-  }
-  return hash | 0;
-}
-
-/** Finalizer of MurmurHash3: spreads each input bit over all output bits. */
-function mix(value: number): number {
-  let x = value;
-  x = Math.imul(x ^ (x >>> 16), 0x85ebca6b);
-  x = Math.imul(x ^ (x >>> 13), 0xc2b2ae35);
-  return x ^ (x >>> 16);
-}
-
 /** Instances that have the same weight for a target. */
 interface WeightClass {
   readonly weight: number;
@@ -79,7 +63,10 @@
       const members = sorted.filter((each) =>
         getWeight(each, domain, region) === weight
       );
-      const hashes = Int32Array.from(members, ({ id }) => mix(hashText(id)));
+      const hashes = Int32Array.from(
+        members,
+        ({ id }) => Hash.mix(Hash.fnv1a(id)),
+      );
       return { weight, instances: members, hashes };
     });
   }
@@ -113,7 +100,7 @@
     let bestHash = -(2 ** 31) - 1;
     let place = -1;
     for (let i = 0; i < hashes.length; i++) {
-      const hash = mix(slotHash ^ (hashes[i] ?? 0));
+      const hash = Hash.mix(slotHash ^ (hashes[i] ?? 0));
       if (hash <= bestHash) continue;
       bestHash = hash;
       place = i;
@@ -134,11 +121,11 @@
   self: Types.InstanceId,
   candidates: Candidates,
 ): readonly number[] {
-  const targetHash = hashText(target.id);
+  const targetHash = Hash.fnv1a(target.id);
   const classes = candidates.getClasses(target.domain, target.region);
   const own: number[] = [];
   for (let slot = 0; slot < target.slots; slot++) {
-    const slotHash = mix(targetHash + Math.imul(slot + 1, 0x9e3779b9));
+    const slotHash = Hash.mix(targetHash + Math.imul(slot + 1, 0x9e3779b9));
     if (tryGetOwner(slotHash, classes) === self) own.push(slot);
   }
   return own;
--- a/src/types.ts
+++ b/src/types.ts
@@ -1,4 +1,4 @@
-/** Types that more than one stage uses. Everything here is read-only data. */
+/** Types that more than one module uses. Everything here is read-only data. */
 
 /** Name of one entry instance, unique in the fleet. */
 export type InstanceId = string;
--- a/testing/bench/fairness.ts
+++ b/testing/bench/fairness.ts
@@ -1,7 +1,7 @@
 /**
  * Eight client accounts, each within its rate; the same load once alone and
  * once while the largest account sends five times its rate. Callers follow
- * look-ups. Every refusal of another account's request is wrongful, because
+ * lookups. Every refusal of another account's request is wrongful, because
  * those accounts send half their rate.
  */
 import * as Caller from "../caller/caller.ts";
--- a/testing/bench/follower.ts
+++ b/testing/bench/follower.ts
@@ -1,5 +1,5 @@
 /**
- * A caller without retries: it follows look-ups, renews them by their age, and
+ * A caller without retries: it follows lookups, renews them by their age, and
  * reports each request's end, so that a request cut by a stop is not hidden by
  * a second attempt.
  */
@@ -74,7 +74,7 @@
         last = err;
       }
     }
-    throw new Error(`no instance answers look-ups: ${String(last)}`);
+    throw new Error(`no instance answers lookups: ${String(last)}`);
   }
 
   async function refresh(): Promise<Answer> {
--- a/testing/bench/lookup.ts
+++ b/testing/bench/lookup.ts
@@ -1,4 +1,4 @@
-/** Look-ups a second of one instance, the cost of an answer by members, and the client block map at three sizes. */
+/** Lookups a second of one instance, the cost of an answer by members, and the client block map at three sizes. */
 import * as BlockMap from "../../src/lookup/block_map.ts";
 import * as Load from "../harness/load.ts";
 import * as LookupAnswers from "./lookup_answers.ts";
@@ -13,7 +13,7 @@
 const WARM_UP_MS = 2_000;
 const LOAD_MS = 8_000;
 const CONCURRENCY = 32;
-/** Section 1.6: 240,000 look-ups a second over 620 nodes. */
+/** Section 1.6: 240,000 lookups a second over 620 nodes. */
 const TARGET_PER_S = 387;
 
 async function measureRequests(report: Report.Report): Promise<number> {
--- a/testing/bench/lookup_answers.ts
+++ b/testing/bench/lookup_answers.ts
@@ -1,5 +1,5 @@
 /**
- * Cost of one look-up answer by the number of members: order, weights by held
+ * Cost of one lookup answer by the number of members: order, weights by held
  * budget, and the JSON text, as `GET /v1/lookup` makes them.
  */
 import * as Division from "../../src/budget/division.ts";
@@ -12,7 +12,7 @@
 const SIZES = [4, 16, 64, 620] as const;
 const DOMAINS = 4;
 const ANSWERS = 300;
-/** Look-ups a second and node of section 1.6. */
+/** Lookups a second and node of section 1.6. */
 const NODE_RATE_PER_S = 387;
 
 function createMember(i: number): Types.Heartbeat {
--- a/testing/bench/overhead.ts
+++ b/testing/bench/overhead.ts
@@ -15,7 +15,7 @@
 const LATENCY_RATE_PER_S = 200;
 const THROUGHPUT_MS = 6_000;
 const CONCURRENCY = 32;
-/** Look-ups a second and node of section 1.6; the page has no other rate per instance. */
+/** Lookups a second and node of section 1.6; the page has no other rate per instance. */
 const NODE_RATE_PER_S = 387;
 
 interface Route {
--- a/testing/bench/recovery.ts
+++ b/testing/bench/recovery.ts
@@ -1,7 +1,7 @@
 /**
  * What callers see of three failures: an entry instance killed, the store out
  * for 15 s, and all instances of a domain killed. Callers send half their
- * account's rate and follow look-ups; each failure is compared with the phase
+ * account's rate and follow lookups; each failure is compared with the phase
  * before the first one.
  */
 import * as Clock from "../../src/clock.ts";
@@ -23,7 +23,7 @@
 const DOMAIN_LOSS_MS = 9_000;
 /** Lease (10 s) and one renewal interval (3 s), in which a domain peer takes the shards over. */
 const KILL_BOUND_MS = 13_000;
-/** Heartbeat silence (3 s) and the age of a cached look-up answer (5 s). */
+/** Heartbeat silence (3 s) and the age of a cached lookup answer (5 s). */
 const DOMAIN_LOSS_BOUND_MS = 8_000;
 
 interface Sample extends Caller.CallResult {
--- a/testing/caller/caller.ts
+++ b/testing/caller/caller.ts
@@ -43,7 +43,7 @@
   readonly entries: readonly Types.Address[];
   readonly service: string;
   readonly key: string | undefined;
-  /** Only the first group of a look-up answer is used unless it fails. */
+  /** Only the first group of a lookup answer is used unless it fails. */
   readonly random?: () => number;
 }
 
@@ -136,7 +136,7 @@
     );
     for (const address of new Set([...own, ...known])) {
       const count = await lookupAt(address);
-      // A leaving instance answers look-ups and issues no tickets.
+      // A leaving instance answers lookups and issues no tickets.
       if (count !== undefined && (count > 0 || !needsTicket)) return;
     }
   }
@@ -214,7 +214,7 @@
         reply = await send(one.address, "GET", path, undefined, {});
         break;
       } catch {
-        // A read may be repeated; the look-up is renewed for the next one.
+        // A read may be repeated; the lookup is renewed for the next one.
         cachedUntilMs = 0;
       }
     }
--- a/testing/load/load.ts
+++ b/testing/load/load.ts
@@ -80,7 +80,7 @@
   const pools = addresses.map((address) => ({
     address,
     pool: new Pool(`http://${address}`, {
-      // Requests end by their own time-out, which is finer than undici's.
+      // Requests end by their own timeout, which is finer than undici's.
       headersTimeout: 0,
       bodyTimeout: 0,
     }),
