End exhaustive switches by assertNever and comment what misleads

Change: assertNever in admission, place, exchange and poison (the one in src/budget/holdings.ts is left to its owner), comments at `prepare` and its types, doc comments in the fakes. No reachable path changes. Conclusion: a new kind now fails to compile where it is forgotten.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -6,6 +6,7 @@
  */
 import type * as Http from "node:http";
 import { Err, Ok, type Result } from "ts-results-es";
+import * as Debug from "../debug.ts";
 import * as Body from "../forward/body.ts";
 import * as Headers from "../forward/headers.ts";
 import * as Path from "../forward/path.ts";
@@ -27,6 +28,7 @@
 
 type Refused = Err<Respond.Refusal>;
 
+/** This request did not run; on `once` routes an earlier one with its ticket may have. */
 function refuseNotRun(failure: Respond.Refusal["failure"]): Refused {
   return Err({ failure, outcome: "not-run" });
 }
@@ -44,6 +46,7 @@
       abort,
     });
     if (prepared.isErr()) {
+      // `prepare` knows of this transmission only; the ledger knows of earlier ones.
       const outcome = Once.getEarlyOutcome(
         deps,
         Headers.toPairs(req.rawHeaders),
@@ -66,6 +69,7 @@
   };
 }
 
+/** What is known of a request before anything of it was read. */
 interface Start {
   readonly requestId: string;
   readonly startedAtMs: number;
@@ -74,9 +78,11 @@
 
 interface Prepared {
   readonly ctx: Context.Context;
+  /** Ends the deadline's timer; call it when the request has ended. */
   dispose(): void;
 }
 
+/** Path, key, route, body and poison check; a refusal means that nothing left for a target. */
 async function prepare(
   deps: Context.Deps,
   req: Http.IncomingMessage,
@@ -188,6 +194,8 @@
       // Ending normally would make a part look like the whole answer.
       ctx.res.destroy();
       break;
+    default:
+      Debug.assertNever(result);
   }
   return result;
 }
@@ -240,6 +248,8 @@
       return result.refusal.failure.code.status;
     case "cut":
       return 0;
+    default:
+      return Debug.assertNever(result);
   }
 }
 
--- a/src/admission/place.ts
+++ b/src/admission/place.ts
@@ -5,6 +5,7 @@
  */
 import { Err, Ok, type Result } from "ts-results-es";
 import type * as Contracts from "../contracts.ts";
+import * as Debug from "../debug.ts";
 import * as Link from "../forward/link.ts";
 import * as Respond from "../forward/respond.ts";
 import type * as Types from "../types.ts";
@@ -176,6 +177,8 @@
       return ctx.body.data.length;
     case "stream":
       return ctx.body.length ?? ctx.body.head.length;
+    default:
+      return Debug.assertNever(ctx.body);
   }
 }
 
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -7,6 +7,7 @@
  */
 import * as Undici from "undici";
 import type * as Contracts from "../contracts.ts";
+import * as Debug from "../debug.ts";
 import type * as Body from "./body.ts";
 import * as Headers from "./headers.ts";
 
@@ -157,6 +158,8 @@
       return body.data;
     case "stream":
       return watchBody(body.all, onError);
+    default:
+      return Debug.assertNever(body);
   }
 }
 
--- a/src/retry/poison.ts
+++ b/src/retry/poison.ts
@@ -10,6 +10,7 @@
  */
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
+import * as Debug from "../debug.ts";
 import type * as Log from "../log.ts";
 import type * as Types from "../types.ts";
 import * as Reports from "./poison_reports.ts";
@@ -121,6 +122,8 @@
         return;
       case "pull":
         return;
+      default:
+        Debug.assertNever(message);
     }
   }
 
--- a/testing/fakes/budget_fleet.ts
+++ b/testing/fakes/budget_fleet.ts
@@ -225,4 +225,5 @@
   };
 }
 
+/** Instances and what a test does to them. */
 export type Fleet = ReturnType<typeof createFleet>;
--- a/testing/fakes/budget_network.ts
+++ b/testing/fakes/budget_network.ts
@@ -39,4 +39,5 @@
   };
 }
 
+/** Messages between instances and the store. */
 export type Network = ReturnType<typeof createNetwork>;
--- a/testing/fakes/config_net.ts
+++ b/testing/fakes/config_net.ts
@@ -21,6 +21,7 @@
 
 const unused = () => Promise.reject(new Error("not used here"));
 
+/** Creates an empty store with compare-and-swap and watches. */
 export function createFakeStore(): FakeStore {
   const entries = new Map<string, Contracts.StoreEntry>();
   const watching = new Map<string, number>();
@@ -108,10 +109,12 @@
   return Ok(table);
 }
 
+/** A table record whose text stands for its content; "bad" does not parse. */
 export function createTableRecord(csv: string): Types.TableRecord {
   return { writeId: `w-${csv.slice(0, 8)}`, by: "test", csv };
 }
 
+/** A keys record of one account; each key is its own id. */
 export function createKeysRecord(
   keys: readonly string[],
   withdrawn: readonly string[] = [],
@@ -125,6 +128,7 @@
   };
 }
 
+/** An instance with its configuration, and nothing of the request path. */
 export interface Instance extends Helpers.TestNet {
   readonly config: ConfigStore.Store;
   readonly keys: Contracts.Keys;
--- a/testing/fakes/peer_net.ts
+++ b/testing/fakes/peer_net.ts
@@ -6,8 +6,10 @@
 import * as Supervisor from "../../src/supervisor.ts";
 import type * as Types from "../../src/types.ts";
 
+/** Secret of all nets unless a test gives another. */
 export const SECRET = "a-secret-for-the-tests";
 
+/** A logger that writes nothing. */
 export const quietLog = Log.createLogger("error", {}, () => {});
 
 /** Values of a heartbeat that a test may change while the net runs. */
@@ -15,6 +17,7 @@
   -readonly [K in keyof Types.Heartbeat]: Types.Heartbeat[K];
 };
 
+/** A listening peer net. */
 export interface TestNet {
   readonly net: Net.Net;
   readonly address: Types.Address;
@@ -23,6 +26,7 @@
   stop(): Promise<void>;
 }
 
+/** A live instance's heartbeat; its region is the domain's name up to the first hyphen. */
 export function createHeartbeat(id: string, domain: string): MutableHeartbeat {
   return {
     id,
