--- a/tests/support/stranger.ts
+++ b/testing/fakes/stranger.ts
@@ -1,7 +1,7 @@
 /** A connection to a peer listener that is opened by hand, line by line. */
 import * as NodeNet from "node:net";
 import * as Handshake from "../../src/peer/handshake.ts";
-import * as Helpers from "../../testing/fakes/peer_net.ts";
+import * as Helpers from "./peer_net.ts";
 
 /** Connects like a stranger; resolves with all lines once the other side closes. */
 export async function talk(
--- a/tests/admission_test.ts
+++ b/tests/admission_test.ts
@@ -4,10 +4,11 @@
 import { describe, expect, it } from "vitest";
 import * as Servers from "../src/daemon/servers.ts";
 import * as Fakes from "../testing/fakes/request_path.ts";
-import * as Requests from "./support/request_path.ts";
+import * as Requests from "../testing/fakes/requests.ts";
+import * as RequestPath from "./support/request_path.ts";
 
 describe("request path", () => {
-  const rig = Requests.createRequestPath();
+  const rig = RequestPath.createRequestPath();
 
   describe("retries and outcomes", () => {
     it("repeats a read whose target broke, and nothing else", async () => {
--- a/tests/forwarding_test.ts
+++ b/tests/forwarding_test.ts
@@ -1,10 +1,11 @@
 import * as Crypto from "node:crypto";
 import { describe, expect, it } from "vitest";
 import * as Fakes from "../testing/fakes/request_path.ts";
-import * as Requests from "./support/request_path.ts";
+import * as Requests from "../testing/fakes/requests.ts";
+import * as RequestPath from "./support/request_path.ts";
 
 describe("request path", () => {
-  const rig = Requests.createRequestPath();
+  const rig = RequestPath.createRequestPath();
 
   describe("forwarding", () => {
     it("hides the key from the target wherever the caller put it", async () => {
--- a/tests/once_test.ts
+++ b/tests/once_test.ts
@@ -1,10 +1,11 @@
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import * as Fakes from "../testing/fakes/request_path.ts";
 import type * as StandIn from "../testing/target/stand_in.ts";
-import * as Requests from "./support/request_path.ts";
+import * as Requests from "../testing/fakes/requests.ts";
+import * as RequestPath from "./support/request_path.ts";
 
 describe("request path", () => {
-  const rig = Requests.createRequestPath();
+  const rig = RequestPath.createRequestPath();
 
   describe("at most once", () => {
     it("needs a ticket of the same account and service", async () => {
--- a/tests/peer_members_test.ts
+++ b/tests/peer_members_test.ts
@@ -5,7 +5,7 @@
 import * as Release from "../src/peer/release.ts";
 import type * as Types from "../src/types.ts";
 import * as Helpers from "../testing/fakes/peer_net.ts";
-import * as Stranger from "./support/stranger.ts";
+import * as Stranger from "../testing/fakes/stranger.ts";
 
 describe("release", () => {
   it("closes only old idle connections that nothing needs, and says so first", () => {
--- a/tests/peer_wire_test.ts
+++ b/tests/peer_wire_test.ts
@@ -4,8 +4,8 @@
 import * as Listing from "../src/peer/listing.ts";
 import * as Wire from "../src/peer/wire.ts";
 import * as Helpers from "../testing/fakes/peer_net.ts";
+import * as Stranger from "../testing/fakes/stranger.ts";
 import * as Rig from "./support/peer_rig.ts";
-import * as Stranger from "./support/stranger.ts";
 
 const rig = Rig.createPeerRig();
 
