Measure added latency at targets whose connections take 1 ms

Cause: each exchange with a target opens a connection, and the overhead bench ran only over loopback, where that takes microseconds; users state about 1 ms. Change: the stand-in for targets has a fault connectMs, which holds the first request of a connection back until the connection is that old.

--- a/testing/target/faults.ts
+++ b/testing/target/faults.ts
@@ -40,7 +40,9 @@
   readonly lateMs?: number | undefined;
   /** Without content length: in chunks, or delimited by the end of the connection. */
   readonly omitContentLength?: "chunked" | "eof" | undefined;
-  /** The four faults above apply only to paths that contain this text. */
+  /** Milliseconds until a new connection serves its first request, for the time of a handshake. */
+  readonly connectMs?: number | undefined;
+  /** The four faults before `connectMs` apply only to paths that contain this text. */
   readonly only?: string | undefined;
 }
 
@@ -75,6 +77,7 @@
   resetAfterExecuting: isFlag,
   lateMs: isCount,
   omitContentLength: isOneOf("chunked", "eof"),
+  connectMs: isCount,
   only: isText,
 };
 
--- a/testing/target/stand_in.ts
+++ b/testing/target/stand_in.ts
@@ -167,6 +167,27 @@
   socket.on("close", () => state.connections--);
 }
 
+/**
+ * Holds requests back until their connection is as old as the fault `connectMs`. Loopback
+ * connects in microseconds, so this stands for the time of the handshake; only
+ * the first request on a connection can wait.
+ */
+function holdYoung(
+  getConnectMs: () => number,
+  handle: Http.RequestListener,
+): { open(socket: Net.Socket): void; handle: Http.RequestListener } {
+  const servedAtMs = new WeakMap<Net.Socket, number>();
+  return {
+    open: (socket) =>
+      void servedAtMs.set(socket, performance.now() + getConnectMs()),
+    handle(req, res) {
+      const waitMs = (servedAtMs.get(req.socket) ?? 0) - performance.now();
+      if (waitMs <= 0) handle(req, res);
+      else setTimeout(() => handle(req, res), waitMs);
+    },
+  };
+}
+
 /** Closes after the requests in progress; connections go as they become idle. */
 function closeServer(server: Http.Server): Promise<void> {
   return new Promise((resolve) => {
@@ -189,8 +210,10 @@
   const exchange = Exchange.createExchange(state, crash);
   const server = Http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS });
   server.requestTimeout = 0;
+  const held = holdYoung(() => state.faults.connectMs ?? 0, exchange.handle);
+  server.on("connection", held.open);
   server.on("connection", (socket) => countConnections(state, socket));
-  server.on("request", exchange.handle);
+  server.on("request", held.handle);
   const listenAt = await listen(server, opts.listen ?? "127.0.0.1:0");
   let isClosed = false;
   let restartTimer: NodeJS.Timeout | undefined;
