Open connections ahead of reads to targets whose slots are owned

Cause: each exchange opens a connection, which users state takes about 1 ms. It carries one exchange. Orders, other writes and streamed bodies open their own, because a connection that the target closes as the request leaves makes the outcome unknown. A 408 on one counts as a broken connection and never reaches a caller.

--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -76,6 +76,12 @@
   }
 }
 
+/** True for reads that another attempt may follow when the target breaks. */
+function isRepeatableRead(ctx: Context.Context): boolean {
+  return Context.isRead(ctx.method) && !ctx.isOnce &&
+    ctx.body.kind !== "stream";
+}
+
 function isRepeatable(
   ctx: Context.Context,
   ended: Retriable,
@@ -172,6 +178,7 @@
       path: ctx.route.path + ctx.route.query,
       headers: getTargetHeaders(deps, ctx, address),
       body: ctx.body,
+      getPreconnectLimit: isRepeatableRead(ctx) ? slot.getOwnSlots : undefined,
     },
     sink,
     signal,
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -211,6 +211,8 @@
   release(verdict: TargetVerdict): void;
   /** The target said in an answer that it is leaving. */
   markLeaving(): void;
+  /** Slots of the target that this instance owns now; 0 while it may get no new work. */
+  getOwnSlots(): number;
 }
 
 /** The targets and which of them to use. */
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -3,14 +3,17 @@
  * answer to its own request or learns that it did not. Each exchange has a
  * connection of its own: on a reused one the target may close just as the next
  * request leaves, and then nobody knows whether it ran, or an answer that nobody
- * asked for is taken for the next request's own.
+ * asked for is taken for the next request's own. Reads may use a connection that
+ * was opened ahead and never used.
  */
 import * as Undici from "undici";
 import type * as Contracts from "../contracts.ts";
 import type * as Body from "./body.ts";
 import * as Headers from "./headers.ts";
+import * as Preconnect from "./preconnect.ts";
 
-const CONNECT_TIMEOUT_MS = 1_000;
+/** What a server answers on a connection on which no request came in time. */
+const STATUS_REQUEST_TIMEOUT = 408;
 /**
  * Why a connection is destroyed at the end of its exchange. One for all: undici
  * would make an error of its own each time, whose stack trace took a third of an
@@ -28,6 +31,12 @@
   readonly path: string;
   readonly headers: Headers.HeaderPairs;
   readonly body: Body.RequestBody;
+  /**
+   * Connections that may wait at the target for requests like this one, which
+   * then may use them. Only for requests that may be repeated: the target may
+   * close such a connection just as the request leaves.
+   */
+  readonly getPreconnectLimit?: (() => number) | undefined;
 }
 
 /** Where a long answer goes while it arrives. */
@@ -75,6 +84,7 @@
   readonly sink: AnswerSink;
   readonly bufferBytes: number;
   readonly throttle: ((bytes: number) => Promise<void>) | undefined;
+  readonly isPreconnected: () => boolean;
   readonly resolve: (result: ExchangeResult) => void;
 }
 
@@ -83,13 +93,14 @@
   readonly bufferBytes: number;
   /** Source IP of connections. */
   readonly localAddress?: string | undefined;
+  /** The owner of connections opened ahead; ends with the exchanger. */
+  readonly preconnector?: Preconnect.Preconnector;
 }): Exchanger {
   const { localAddress } = opts;
+  const preconnector = opts.preconnector ??
+    Preconnect.createPreconnector({ localAddress });
   const local = localAddress === undefined ? {} : { localAddress };
   const common = {
-    // Built once; undici would build one for each client.
-    connect: Undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS }),
-    // Not within `connect`, where undici overwrites it.
     ...local,
     headersTimeout: 0,
     bodyTimeout: 0,
@@ -100,8 +111,17 @@
    * A connection for one exchange. It does not ask the target to close it, because
    * an answer on a connection that ends can't be held back (see `canHoldBack`).
    */
-  function createSingle(address: string): Undici.Client {
-    const client = new Undici.Client(`http://${address}`, common);
+  function createSingle(
+    { address, getPreconnectLimit }: TargetRequest,
+    onPreconnected: () => void,
+  ): Undici.Client {
+    const connect = getPreconnectLimit === undefined
+      ? preconnector.connect
+      : preconnector.createConnect(address, onPreconnected);
+    const client = new Undici.Client(`http://${address}`, {
+      ...common,
+      connect,
+    });
     singles.add(client);
     return client;
   }
@@ -111,21 +131,33 @@
     void client.destroy(EXCHANGE_ENDED);
   }
 
+  /** A target that has just answered is likely to get more requests. */
+  function openAhead(req: TargetRequest, result: ExchangeResult): void {
+    const { address, getPreconnectLimit } = req;
+    const isAnswered = result.kind === "answer" || result.kind === "streamed";
+    if (!isAnswered || getPreconnectLimit === undefined) return;
+    // Not before the answer is on its way to the caller.
+    setImmediate(() => preconnector.open(address, getPreconnectLimit));
+  }
+
   function exchange(
     req: TargetRequest,
     sink: AnswerSink,
     signal: AbortSignal,
     throttle?: (bytes: number) => Promise<void>,
   ): Promise<ExchangeResult> {
-    const single = createSingle(req.address);
+    let isPreconnected = false;
+    const single = createSingle(req, () => isPreconnected = true);
     return new Promise((resolve) => {
       const state = {
         req,
         sink,
         bufferBytes: opts.bufferBytes,
         throttle,
+        isPreconnected: () => isPreconnected,
         resolve(result: ExchangeResult) {
           endSingle(single);
+          openAhead(req, result);
           resolve(result);
         },
       };
@@ -136,6 +168,7 @@
   return {
     exchange,
     async close() {
+      preconnector.close();
       await Promise.all([...singles].map((one) => one.destroy()));
     },
   };
@@ -267,6 +300,12 @@
       },
       onResponseStart(_controller, statusCode, _headers) {
         if (statusCode < 200) return;
+        const isUnasked = statusCode === STATUS_REQUEST_TIMEOUT &&
+          state.isPreconnected();
+        if (isUnasked) {
+          const reason = "the connection waited too long for the request";
+          return _controller.abort(new Error(reason));
+        }
         status = statusCode;
         rawHeaders = toHeaderPairs(_controller, _headers);
         isHoldable = canHoldBack(rawHeaders);
--- a/src/targets/pool.ts
+++ b/src/targets/pool.ts
@@ -113,6 +113,12 @@
     entry.ownSlotsEpoch = slotsEpoch;
   }
 
+  function getOwnSlots(entry: Entry.Entry): number {
+    if (!Entry.isUsable(entry)) return 0;
+    refreshSlots(entry);
+    return entry.ownSlots.length;
+  }
+
   function notifySlotFree(service: Types.Service): void {
     for (const fn of slotListeners) fn(service);
   }
@@ -130,6 +136,7 @@
         notifySlotFree(entry.info.service);
       },
       markLeaving: () => health.markLeaving(entry, "response-header"),
+      getOwnSlots: () => getOwnSlots(entry),
     };
   }
 
--- a/testing/fakes/request_path.ts
+++ b/testing/fakes/request_path.ts
@@ -96,6 +96,7 @@
         target,
         release: (verdict) => verdicts.push(`${target.id}:${verdict.kind}`),
         markLeaving: () => verdicts.push(`${target.id}:leaving`),
+        getOwnSlots: () => target.slots,
       };
     },
     hasUsable: () => views.length > 0,
--- a/tests/targets_health_test.ts
+++ b/tests/targets_health_test.ts
@@ -141,8 +141,13 @@
       ...next,
     ]);
     for (const lease of leases) lease.release(TargetPool.ANSWERED);
+    // Connections that wait at a target have to go when it leaves.
+    const getOwnSlots = (id: string) =>
+      leases.find((lease) => lease.target.id === id)?.getOwnSlots();
+    expect(getOwnSlots("t4")).toBeGreaterThan(0);
     const after = rig.acquireAll();
     for (const id of ["t0", "t1", "t2", "t3"]) {
+      expect(getOwnSlots(id), id).toBe(0);
       expect(rig.stateOf(id), id).toBe("leaving");
       expect(TargetPool.countOf(after, id), id).toBe(0);
     }
