Abort only what is still in progress, with prepared reasons

Cause: the close of each finished answer aborted its signal, and an abort without a reason makes an error with a stack trace: 5% of the instance's busy samples. Change: a finished answer aborts nothing, and aborts have prepared reasons.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -18,6 +18,9 @@
 
 const DEADLINE_HEADER = "anvilroute-deadline-ms";
 const MAX_URL_CHARS = 8_192;
+/** Reasons for aborts; without one, each abort makes an error with a stack trace. */
+const CALLER_GONE = new Error("the caller is gone");
+const DEADLINE = new Error("the deadline has passed");
 
 /** Handles callers' requests for services. */
 export type RequestHandler = (
@@ -37,7 +40,10 @@
     const requestId = Context.createRequestId();
     const startedAtMs = deps.clock.nowMs();
     const abort = new AbortController();
-    res.once("close", () => abort.abort());
+    // After a whole answer nothing is left to abort.
+    res.once("close", () => {
+      if (!res.writableFinished) abort.abort(CALLER_GONE);
+    });
     const prepared = await prepare(deps, req, res, {
       requestId,
       startedAtMs,
@@ -106,7 +112,7 @@
     return Err(Respond.refuse("keyInQuery", "not-run"));
   }
   const deadlineMs = getDeadlineMs(req, rules);
-  const timer = setTimeout(() => start.abort.abort(), deadlineMs);
+  const timer = setTimeout(() => start.abort.abort(DEADLINE), deadlineMs);
   const dispose = () => clearTimeout(timer);
   const body = await Body.readBody(req, deps.limits, start.abort.signal);
   if (body.isErr()) {
