--- a/src/forward/preconnect.ts
+++ b/src/forward/preconnect.ts
@@ -156,7 +156,9 @@
     if (opening.size + waiting.length >= getLimit()) return;
     const { hostname, port, host, protocol } = new URL(`http://${address}`);
     const { localAddress } = opts;
-    const params = { hostname, port, host, protocol, localAddress };
+    // An IPv6 address is bracketed in a URL and nowhere else.
+    const ip = hostname.replace(/^\[|\]$/g, "");
+    const params = { hostname: ip, port, host, protocol, localAddress };
     // The types leave out that the connection is returned before it is open.
     const socket = connect(
       params as unknown as Undici.buildConnector.Options,
--- a/tests/preconnect_test.ts
+++ b/tests/preconnect_test.ts
@@ -56,13 +56,14 @@
     });
     ends.push(() => exchanger.close(), target.stop);
     const sink = { start: () => {}, write: () => Promise.resolve() };
-    function send(): Promise<Exchange.ExchangeResult> {
+    function send(
+      signal = AbortSignal.timeout(3_000),
+    ): Promise<Exchange.ExchangeResult> {
       const { address } = target;
       const headers = [["host", address]] as const;
       const body = { kind: "none" } as const;
       const getPreconnectLimit = () => limit;
       const req = { address, method: "GET", path: "/", headers, body };
-      const signal = AbortSignal.timeout(3_000);
       return exchanger.exchange({ ...req, getPreconnectLimit }, sink, signal);
     }
     const waitForOpen = (count: number) =>
@@ -106,7 +107,7 @@
 
   it("are no more than the limit, so that targets keep their connections for others", async () => {
     const rig = await start();
-    await Promise.all(Array.from({ length: 10 }, rig.send));
+    await Promise.all(Array.from({ length: 10 }, () => rig.send()));
     await rig.waitForOpen(LIMIT);
   });
 
@@ -174,6 +175,17 @@
     await rig.waitForOpen(0);
   });
 
+  it("are closed with a request that is cancelled before it leaves on them", async () => {
+    const rig = await start();
+    await rig.sendFirst();
+    const abort = new AbortController();
+    const sending = rig.send(abort.signal);
+    abort.abort();
+    expect((await sending).kind).toBe("not-sent");
+    await rig.waitForOpen(0);
+    expect(rig.target.servedBy).toEqual([0]);
+  });
+
   it("are all closed at the end, those that are not open yet included", async () => {
     const rig = await start();
     await Promise.all([rig.send(), rig.send()]);
