Divide budgets once per table, with one number a key for its shards

Cause: an instance divided each table twice, kept eight objects a key and domain for the shares of shards, hashed the whole text of domain, shard and key for each score, and made 18 closures and a reserve of 17 entries a bucket. Parsing and building still take too long at once.

--- a/src/budget/bucket.ts
+++ b/src/budget/bucket.ts
@@ -55,187 +55,232 @@
   tokens: number;
 }
 
-/** Creates an empty bucket with limits 0. */
-export function createBucket(startMs: number): Bucket {
-  let rate = 0;
-  let burst = 0;
-  let level = 0;
-  let lent = 0;
-  let updatedAtMs = startMs;
-  let horizonMs = 30_000;
+interface State {
+  rate: number;
+  burst: number;
+  level: number;
+  lent: number;
+  updatedAtMs: number;
+  horizonMs: number;
   /** Loans out by expiry, soonest first. */
-  let loans: TimedTokens[] = [];
+  loans: TimedTokens[];
   /** Takes that may still be refunded, oldest first. */
-  const takes: TimedTokens[] = [];
+  readonly takes: TimedTokens[];
   /** Least free room since a time: room grows with the time of the entry. */
-  let rooms: TimedTokens[] = [];
-
-  function refillTo(atMs: number): void {
-    if (atMs <= updatedAtMs) return;
-    const capacity = burst - lent;
-    if (level < capacity) {
-      const filled = level + (rate * (atMs - updatedAtMs)) / 1000;
-      level = filled < capacity ? filled : capacity;
-    }
-    updatedAtMs = atMs;
-  }
+  rooms: TimedTokens[];
+}
 
-  // Capacity comes back at the loan's expiry, not at the next call: refilling
-  // the whole span at the restored capacity would count tokens that did not fit.
-  function advance(nowMs: number): void {
-    while (loans.length > 0 && loans[0]!.atMs <= nowMs) {
-      const loan = loans.shift()!;
-      refillTo(loan.atMs);
-      noteRoom(loan.atMs);
-      lent = loans.length === 0 ? 0 : Math.max(0, lent - loan.tokens);
-    }
-    refillTo(nowMs);
-  }
+// The helpers are not closures of each bucket: an instance may have 10,000 of
+// them, and eight closures more took half a kilobyte each.
 
-  function getRoom(): number {
-    return Math.max(0, burst - lent - level);
+function refillTo(state: State, atMs: number): void {
+  if (atMs <= state.updatedAtMs) return;
+  const capacity = state.burst - state.lent;
+  if (state.level < capacity) {
+    const gained = (state.rate * (atMs - state.updatedAtMs)) / 1000;
+    const filled = state.level + gained;
+    state.level = filled < capacity ? filled : capacity;
   }
+  state.updatedAtMs = atMs;
+}
 
-  function noteRoom(atMs: number): void {
-    const tokens = getRoom();
-    while (rooms.length > 0 && rooms[rooms.length - 1]!.tokens >= tokens) {
-      rooms.pop();
-    }
-    rooms.push({ atMs, tokens });
-    if (rooms.length <= MAX_HISTORY) return;
-    // The later time with the smaller room only makes refunds smaller.
-    const [first, second] = rooms as [TimedTokens, TimedTokens];
-    rooms.splice(0, 2, { atMs: second.atMs, tokens: first.tokens });
+// Capacity comes back at the loan's expiry, not at the next call: refilling
+// the whole span at the restored capacity would count tokens that did not fit.
+function advance(state: State, nowMs: number): void {
+  const { loans } = state;
+  while (loans.length > 0 && loans[0]!.atMs <= nowMs) {
+    const loan = loans.shift()!;
+    refillTo(state, loan.atMs);
+    noteRoom(state, loan.atMs);
+    state.lent = loans.length === 0 ? 0 : Math.max(0, state.lent - loan.tokens);
   }
+  refillTo(state, nowMs);
+}
+
+function getRoom(state: State): number {
+  return Math.max(0, state.burst - state.lent - state.level);
+}
 
-  function noteTake(tokens: number, nowMs: number): void {
-    while (takes.length > 0 && takes[0]!.atMs < nowMs - horizonMs) {
-      takes.shift();
-    }
-    const last = takes[takes.length - 1];
-    if (last !== undefined && nowMs - last.atMs < horizonMs / MAX_HISTORY) {
-      last.tokens += tokens;
-    } else {
-      takes.push({ atMs: nowMs, tokens });
-    }
+function noteRoom(state: State, atMs: number): void {
+  const { rooms } = state;
+  const tokens = getRoom(state);
+  while (rooms.length > 1 && rooms[rooms.length - 1]!.tokens >= tokens) {
+    rooms.pop();
+  }
+  if (rooms.length === 0 || rooms[0]!.tokens >= tokens) {
+    // A push into an empty array reserves room for 17 entries.
+    state.rooms = [{ atMs, tokens }];
+    return;
   }
+  rooms.push({ atMs, tokens });
+  if (rooms.length <= MAX_HISTORY) return;
+  // The later time with the smaller room only makes refunds smaller.
+  const [first, second] = rooms as [TimedTokens, TimedTokens];
+  rooms.splice(0, 2, { atMs: second.atMs, tokens: first.tokens });
+}
 
-  // Without the refunded take the bucket would have been fuller by `tokens`,
-  // less what overflowed since: the least room since then bounds the refund.
-  function refund(tokens: number, takenAtMs: number): number {
-    let room = getRoom();
-    for (const entry of rooms) {
-      if (entry.atMs > takenAtMs) room = Math.min(room, entry.tokens);
-    }
-    const given = Math.min(tokens, room);
-    if (given <= 0) return 0;
-    level += given;
-    const older = rooms.filter((entry) => entry.atMs <= takenAtMs);
-    const newer = rooms.filter((entry) => entry.atMs > takenAtMs);
-    for (const entry of newer) entry.tokens -= given;
-    const least = newer[0]?.tokens ?? Infinity;
-    rooms = [...older.filter((entry) => entry.tokens < least), ...newer];
-    return given;
+function noteTake(state: State, tokens: number, nowMs: number): void {
+  const { takes, horizonMs } = state;
+  while (takes.length > 0 && takes[0]!.atMs < nowMs - horizonMs) {
+    takes.shift();
+  }
+  const last = takes[takes.length - 1];
+  if (last !== undefined && nowMs - last.atMs < horizonMs / MAX_HISTORY) {
+    last.tokens += tokens;
+  } else {
+    takes.push({ atMs: nowMs, tokens });
   }
+}
 
-  function addLoan(tokens: number, untilMs: number): void {
-    if (tokens <= 0) return;
-    lent += tokens;
-    const at = loans.findIndex((loan) => loan.atMs > untilMs);
-    const entry = { atMs: untilMs, tokens };
-    if (at < 0) loans.push(entry);
-    else loans.splice(at, 0, entry);
+// Without the refunded take the bucket would have been fuller by `tokens`,
+// less what overflowed since: the least room since then bounds the refund.
+function refund(state: State, tokens: number, takenAtMs: number): number {
+  let room = getRoom(state);
+  for (const entry of state.rooms) {
+    if (entry.atMs > takenAtMs) room = Math.min(room, entry.tokens);
   }
+  const given = Math.min(tokens, room);
+  if (given <= 0) return 0;
+  state.level += given;
+  const older = state.rooms.filter((entry) => entry.atMs <= takenAtMs);
+  const newer = state.rooms.filter((entry) => entry.atMs > takenAtMs);
+  for (const entry of newer) entry.tokens -= given;
+  const least = newer[0]?.tokens ?? Infinity;
+  state.rooms = [...older.filter((entry) => entry.tokens < least), ...newer];
+  return given;
+}
+
+function addLoan(state: State, tokens: number, untilMs: number): void {
+  if (tokens <= 0) return;
+  state.lent += tokens;
+  const at = state.loans.findIndex((loan) => loan.atMs > untilMs);
+  const entry = { atMs: untilMs, tokens };
+  if (at < 0) state.loans.push(entry);
+  else state.loans.splice(at, 0, entry);
+}
 
-  function setLimits(limits: Limits, nowMs: number): void {
-    advance(nowMs);
-    noteRoom(nowMs);
-    rate = limits.rate;
-    burst = limits.burst;
-    level = Math.max(0, Math.min(level, burst - lent));
+/** Unknown takes count as the oldest ones, which never refunds too much. */
+function refundOldest(state: State, tokens: number, nowMs: number): number {
+  const { takes } = state;
+  let left = tokens;
+  let given = 0;
+  while (left > 0 && takes.length > 0) {
+    const take = takes[0]!;
+    const part = Math.min(left, take.tokens);
+    const isRecent = take.atMs >= nowMs - state.horizonMs;
+    if (isRecent) given += refund(state, part, take.atMs);
+    take.tokens -= part;
+    left -= part;
+    if (take.tokens <= 0) takes.shift();
   }
+  return given;
+}
+
+/** Takes tokens out; false when short. */
+function tryRemove(state: State, tokens: number, nowMs: number): boolean {
+  advance(state, nowMs);
+  if (state.level + EPSILON < tokens) return false;
+  noteRoom(state, nowMs);
+  state.level = Math.max(0, state.level - tokens);
+  return true;
+}
+
+/** Keeps the level within what is neither lent nor over the burst. */
+function setLevel(state: State, level: number): void {
+  state.level = Math.max(0, Math.min(level, state.burst - state.lent));
+}
+
+function removePart(state: State, limits: Limits, nowMs: number): BucketPart {
+  advance(state, nowMs);
+  noteRoom(state, nowMs);
+  const fraction = state.burst > 0
+    ? Math.min(1, limits.burst / state.burst)
+    : 0;
+  const part = {
+    level: Math.min(state.level * fraction, limits.burst),
+    lent: state.lent * fraction,
+    lentUntilMs: state.loans[state.loans.length - 1]?.atMs ?? nowMs,
+  };
+  state.loans = state.loans.map((loan) => ({
+    atMs: loan.atMs,
+    tokens: loan.tokens * (1 - fraction),
+  }));
+  state.lent *= 1 - fraction;
+  state.rate = Math.max(0, state.rate - limits.rate);
+  state.burst = Math.max(0, state.burst - limits.burst);
+  setLevel(state, state.level * (1 - fraction));
+  return part;
+}
+
+/** Creates an empty bucket with limits 0. */
+export function createBucket(startMs: number): Bucket {
+  const state: State = {
+    rate: 0,
+    burst: 0,
+    level: 0,
+    lent: 0,
+    updatedAtMs: startMs,
+    horizonMs: 30_000,
+    loans: [],
+    takes: [],
+    rooms: [],
+  };
 
   return {
     tryTake(tokens, nowMs) {
-      advance(nowMs);
-      if (level + EPSILON < tokens) return false;
-      noteRoom(nowMs);
-      noteTake(tokens, nowMs);
-      level = Math.max(0, level - tokens);
+      if (!tryRemove(state, tokens, nowMs)) return false;
+      noteTake(state, tokens, nowMs);
       return true;
     },
     tryLend(tokens, untilMs, nowMs) {
-      advance(nowMs);
-      if (level + EPSILON < tokens) return false;
-      noteRoom(nowMs);
-      level = Math.max(0, level - tokens);
-      addLoan(tokens, untilMs);
+      if (!tryRemove(state, tokens, nowMs)) return false;
+      addLoan(state, tokens, untilMs);
       return true;
     },
     giveBack(tokens, nowMs, takenAtMs) {
-      advance(nowMs);
-      if (takenAtMs !== undefined) return refund(tokens, takenAtMs);
-      // Unknown takes count as the oldest ones, which never refunds too much.
-      let left = tokens;
-      let given = 0;
-      while (left > 0 && takes.length > 0) {
-        const take = takes[0]!;
-        const part = Math.min(left, take.tokens);
-        if (take.atMs >= nowMs - horizonMs) given += refund(part, take.atMs);
-        take.tokens -= part;
-        left -= part;
-        if (take.tokens <= 0) takes.shift();
-      }
-      return given;
+      advance(state, nowMs);
+      return takenAtMs === undefined
+        ? refundOldest(state, tokens, nowMs)
+        : refund(state, tokens, takenAtMs);
     },
     hasRecentTakes(nowMs) {
+      const { takes, horizonMs } = state;
       const last = takes[takes.length - 1];
       const granularityMs = horizonMs / MAX_HISTORY;
       return last !== undefined &&
         last.atMs >= nowMs - horizonMs - granularityMs;
     },
-    setLimits,
-    addPart(limits, part, nowMs) {
-      advance(nowMs);
-      noteRoom(nowMs);
-      rate += limits.rate;
-      burst += limits.burst;
-      if (part.lentUntilMs > nowMs) addLoan(part.lent, part.lentUntilMs);
-      level = Math.max(0, Math.min(level + part.level, burst - lent));
+    setLimits(limits, nowMs) {
+      advance(state, nowMs);
+      noteRoom(state, nowMs);
+      state.rate = limits.rate;
+      state.burst = limits.burst;
+      setLevel(state, state.level);
     },
-    removePart(limits, nowMs) {
-      advance(nowMs);
-      noteRoom(nowMs);
-      const fraction = burst > 0 ? Math.min(1, limits.burst / burst) : 0;
-      const part = {
-        level: Math.min(level * fraction, limits.burst),
-        lent: lent * fraction,
-        lentUntilMs: loans[loans.length - 1]?.atMs ?? nowMs,
-      };
-      loans = loans.map((loan) => ({
-        atMs: loan.atMs,
-        tokens: loan.tokens * (1 - fraction),
-      }));
-      lent *= 1 - fraction;
-      level *= 1 - fraction;
-      rate = Math.max(0, rate - limits.rate);
-      burst = Math.max(0, burst - limits.burst);
-      level = Math.max(0, Math.min(level, burst - lent));
-      return part;
+    addPart(limits, part, nowMs) {
+      advance(state, nowMs);
+      noteRoom(state, nowMs);
+      state.rate += limits.rate;
+      state.burst += limits.burst;
+      if (part.lentUntilMs > nowMs) {
+        addLoan(state, part.lent, part.lentUntilMs);
+      }
+      setLevel(state, state.level + part.level);
     },
+    removePart: (limits, nowMs) => removePart(state, limits, nowMs),
     holdEmpty(untilMs, nowMs) {
-      advance(nowMs);
-      noteRoom(nowMs);
-      level = 0;
-      addLoan(Math.max(0, burst - lent), untilMs);
+      advance(state, nowMs);
+      noteRoom(state, nowMs);
+      state.level = 0;
+      addLoan(state, Math.max(0, state.burst - state.lent), untilMs);
     },
     getLevel(nowMs) {
-      advance(nowMs);
-      return level;
+      advance(state, nowMs);
+      return state.level;
     },
-    getLimits: () => ({ rate, burst }),
+    getLimits: () => ({ rate: state.rate, burst: state.burst }),
     setHorizon(ms) {
-      horizonMs = ms;
+      state.horizonMs = ms;
     },
   };
 }
--- a/src/budget/division.ts
+++ b/src/budget/division.ts
@@ -23,6 +23,11 @@
 const LINK_RATE = 0.9;
 const LINK_BURST_S = 0.1;
 const BYTES_PER_MBIT = 125_000;
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+/** A rank is below `SHARDS_PER_DOMAIN`. */
+const RANK_BITS = 3;
+const RANK_MASK = 2 ** RANK_BITS - 1;
 
 /** Shares of all budgets under one table. */
 export interface Division {
@@ -36,6 +41,12 @@
     shard: number,
     key: Contracts.BudgetKey,
   ): Limits;
+  /** Sum of the shares of some shards of a domain. */
+  getShardsShare(
+    domain: Types.Domain,
+    shards: Iterable<number>,
+    key: Contracts.BudgetKey,
+  ): Limits;
   /** Longest time a request may take, so also between a take and its refund. */
   getDeadlineMs(key: Contracts.BudgetKey): number;
 }
@@ -65,29 +76,62 @@
   };
 }
 
-/** 32-bit FNV-1a with a final mix, equal on every instance. */
-export function hashText(text: string): number {
-  let hash = 0x811c9dc5;
+/** FNV-1a of a text, from the hash of what precedes it. */
+function continueHash(hash: number, text: string): number {
+  let h = hash;
   for (let i = 0; i < text.length; i++) {
-    hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
+    h = Math.imul(h ^ text.charCodeAt(i), FNV_PRIME);
   }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
+  return h;
+}
+
+/** Final mix of MurmurHash3: FNV alone leaves similar texts with similar scores. */
+function mix(hash: number): number {
+  let h = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  h = Math.imul(h ^ (h >>> 13), 0xc2b2ae35);
+  return (h ^ (h >>> 16)) >>> 0;
+}
+
+/** Ranks of a domain's shards for one key, `RANK_BITS` a shard. */
+type Ranks = number;
+
+/** Rank of a shard; behind all others for one that does not exist, as a peer may name any. */
+function getRank(ranks: Ranks, shard: number): number {
+  const isKnown = Number.isInteger(shard) && shard >= 0 &&
+    shard < SHARDS_PER_DOMAIN;
+  if (!isKnown) return SHARDS_PER_DOMAIN;
+  return (ranks >>> (shard * RANK_BITS)) & RANK_MASK;
 }
 
-/** The shards of a domain that divide a key, highest rendezvous score first. */
-export function chooseShards(
+/**
+ * The ranks of a domain's shards by rendezvous hashing, equal on every
+ * instance. They are kept as one number a key, because with 10,000 keys the
+ * shares themselves took 8 MB a domain.
+ */
+function createRanking(
   domain: Types.Domain,
-  key: Contracts.BudgetKey,
-  count: number,
-): readonly number[] {
-  const scored = Array.from({ length: SHARDS_PER_DOMAIN }, (_, shard) => ({
-    shard,
-    score: hashText(`${domain}/${shard}/${key}`),
-  }));
-  scored.sort((a, b) => b.score - a.score || a.shard - b.shard);
-  return scored.slice(0, count).map((entry) => entry.shard);
+): (key: Contracts.BudgetKey) => Ranks {
+  const known = new Map<Contracts.BudgetKey, Ranks>();
+  const prefixes = Array.from(
+    { length: SHARDS_PER_DOMAIN },
+    (_, shard) => continueHash(FNV_OFFSET, `${domain}/${shard}/`),
+  );
+
+  function rank(key: Contracts.BudgetKey): Ranks {
+    const scores = prefixes.map((prefix) => mix(continueHash(prefix, key)));
+    return scores.reduce((ranks, score, shard) => {
+      const before = scores.filter((other, i) =>
+        other > score || (other === score && i < shard)
+      );
+      return ranks | (before.length << (shard * RANK_BITS));
+    }, 0);
+  }
+
+  return (key) => {
+    const ranks = known.get(key) ?? rank(key);
+    known.set(key, ranks);
+    return ranks;
+  };
 }
 
 /** Rate and burst of a region cap, in requests. */
@@ -175,19 +219,44 @@
   return byKey;
 }
 
-/** Divides a table's limits. */
-export function createDivision(table: Types.Table): Division {
+/** Shards that divide a domain's share; none holds less than a token when that can be avoided. */
+function countShards(share: Limits): number {
+  const wanted = Math.floor(share.burst / MICRO);
+  return Math.max(1, Math.min(SHARDS_PER_DOMAIN, wanted));
+}
+
+function divide(table: Types.Table): Division {
   const byKey = divideTable(table);
-  const cache = new Map<string, readonly Limits[]>();
-
-  function getShards(domain: Types.Domain, key: Contracts.BudgetKey) {
-    const name = `${domain} ${key}`;
-    let shards = cache.get(name);
-    if (shards === undefined) {
-      shards = divideDomain(domain, key, byKey.get(key)?.get(domain));
-      cache.set(name, shards);
+  const rankings = new Map<
+    Types.Domain,
+    (key: Contracts.BudgetKey) => Ranks
+  >();
+
+  function getRanks(domain: Types.Domain, key: Contracts.BudgetKey): Ranks {
+    const ranking = rankings.get(domain) ?? createRanking(domain);
+    rankings.set(domain, ranking);
+    return ranking(key);
+  }
+
+  /** Summed as integers, so that no rounding builds up. */
+  function getShardsShare(
+    domain: Types.Domain,
+    shards: Iterable<number>,
+    key: Contracts.BudgetKey,
+  ): Limits {
+    const share = byKey.get(key)?.get(domain);
+    if (share === undefined) return NOTHING;
+    const count = countShards(share);
+    const ranks = getRanks(domain, key);
+    let rate = 0;
+    let burst = 0;
+    for (const shard of shards) {
+      const rank = getRank(ranks, shard);
+      if (rank >= count) continue;
+      rate += splitInteger(share.rate, count, rank);
+      burst += splitInteger(share.burst, count, rank);
     }
-    return shards;
+    return fromMicro({ rate, burst });
   }
 
   return {
@@ -204,8 +273,8 @@
     },
     getDomainShare: (domain, key) =>
       fromMicro(byKey.get(key)?.get(domain) ?? NOTHING),
-    getShardShare: (domain, shard, key) =>
-      getShards(domain, key)[shard] ?? NOTHING,
+    getShardShare: (domain, shard, key) => getShardsShare(domain, [shard], key),
+    getShardsShare,
     getDeadlineMs(key) {
       const service = key.split("/")[1] ?? "";
       return table.services.get(service)?.deadlineMs ?? 0;
@@ -213,16 +282,11 @@
   };
 }
 
-function divideDomain(
-  domain: Types.Domain,
-  key: Contracts.BudgetKey,
-  share: Limits = NOTHING,
-): readonly Limits[] {
-  const wanted = Math.floor(share.burst / MICRO);
-  const count = Math.max(1, Math.min(SHARDS_PER_DOMAIN, wanted));
-  const shards = new Array<Limits>(SHARDS_PER_DOMAIN).fill(NOTHING);
-  chooseShards(domain, key, count).forEach((shard, i) => {
-    shards[shard] = fromMicro(splitEqually(share, count, i));
-  });
-  return shards;
+const divisions = new WeakMap<Types.Table, Division>();
+
+/** Divides a table's limits; once per table, as several parts of an instance ask. */
+export function createDivision(table: Types.Table): Division {
+  const division = divisions.get(table) ?? divide(table);
+  divisions.set(table, division);
+  return division;
 }
--- a/src/budget/holdings.ts
+++ b/src/budget/holdings.ts
@@ -93,14 +93,8 @@
   let settledAtMs = Infinity;
 
   function getTarget(key: Contracts.BudgetKey): Bucket.Limits {
-    let rate = 0;
-    let burst = 0;
-    for (const shard of shards) {
-      const share = division?.getShardShare(domain, shard, key);
-      rate += share?.rate ?? 0;
-      burst += share?.burst ?? 0;
-    }
-    return { rate, burst };
+    return division?.getShardsShare(domain, shards, key) ??
+      { rate: 0, burst: 0 };
   }
 
   function getOrCreate(key: Contracts.BudgetKey): KeyState {
--- a/tests/budget_test.ts
+++ b/tests/budget_test.ts
@@ -162,6 +162,18 @@
     expect(shares.filter((burst) => burst === 1)).toHaveLength(5);
     expect(shares.filter((burst) => burst === 0)).toHaveLength(3);
   });
+
+  it("gives nothing to shards that do not exist, which a peer may name", () => {
+    const cells = { x: { rate: 10, burst: 10 } };
+    const division = Division.createDivision(
+      Fakes.createTable(1, { r0: ["p"] }, cells, 200),
+    );
+    const unknown = [8, 9, 32, -1, 2.5];
+    expect(division.getShardsShare("p", unknown, "acct/s/x"))
+      .toEqual({ rate: 0, burst: 0 });
+    expect(division.getShardsShare("p", [0, 1, 2, 3, 4, 5, 6, 7], "acct/s/x"))
+      .toEqual(division.getLimit("acct/s/x"));
+  });
 });
 
 type Cells = Readonly<Record<string, Types.AccountCell>>;
