--- a/testing/bench/probes.ts
+++ b/testing/bench/probes.ts
@@ -60,6 +60,8 @@
     maxReceivedBytesPerS: Math.round(Math.max(...received)),
     cpuPercentPerInstance: mean(rates.map((one) => one.cpuPercent)).toFixed(2),
     maxCpuPercent: Math.max(...rates.map((one) => one.cpuPercent)).toFixed(2),
+    wakeupsPerSPerInstance: mean(rates.map((one) => one.wakeupsPerS))
+      .toFixed(1),
     rssMbPerInstance: mean(rates.map((one) => one.rssMb)).toFixed(1),
   });
   if (count === SIZES.at(-1)) {
--- a/testing/bench/store.ts
+++ b/testing/bench/store.ts
@@ -102,6 +102,7 @@
     byOp: calls.byOp,
     memberRecordBytes: Math.round(memberBytes),
     cpuPercentPerInstance: (sum((one) => one.cpuPercent) / count).toFixed(2),
+    wakeupsPerSPerInstance: (sum((one) => one.wakeupsPerS) / count).toFixed(1),
     sentBytesPerSPerInstance: Math.round(
       sum((one) => one.writtenBytesPerS) / count,
     ),
--- a/testing/bench/usage.ts
+++ b/testing/bench/usage.ts
@@ -14,6 +14,8 @@
   /** Bytes of all reads and writes, sockets included. */
   readonly readBytes: number;
   readonly writtenBytes: number;
+  /** Times that the main thread went to wait. */
+  readonly waits: number;
 }
 
 /** Use between two readings. */
@@ -24,6 +26,8 @@
   readonly rssMb: number;
   readonly readBytesPerS: number;
   readonly writtenBytesPerS: number;
+  /** Wake-ups of the main thread; unlike processor time they hardly depend on other load. */
+  readonly wakeupsPerS: number;
 }
 
 function getNumber(text: string, name: string): number {
@@ -44,6 +48,7 @@
     rssMb: getNumber(status, "VmRSS") * 1_024 / 1e6,
     readBytes: getNumber(io, "rchar"),
     writtenBytes: getNumber(io, "wchar"),
+    waits: getNumber(status, "voluntary_ctxt_switches"),
   };
 }
 
@@ -56,5 +61,6 @@
     rssMb: to.rssMb,
     readBytesPerS: (to.readBytes - from.readBytes) / seconds,
     writtenBytesPerS: (to.writtenBytes - from.writtenBytes) / seconds,
+    wakeupsPerS: (to.waits - from.waits) / seconds,
   };
 }
