Group the rows of a table once, not for every account

Cause: the check of bursts grouped the rows by service for each of 10,000 accounts, and each header cell was compared with ten column names. Change: rows are grouped once, and column names are a set.

--- a/src/table/columns.ts
+++ b/src/table/columns.ts
@@ -26,6 +26,8 @@
 /** Name of a column that every table has. */
 export type FixedColumn = typeof FIXED_COLUMNS[number];
 
+const FIXED_NAMES: ReadonlySet<string> = new Set(FIXED_COLUMNS);
+
 /** Allowed values of a numeric column. */
 export interface Range {
   readonly min: number;
@@ -99,7 +101,7 @@
 ): Header["accounts"] {
   const accounts = new Map<string, { rate: number; burst: number }>();
   for (const name of at.keys()) {
-    if (FIXED_COLUMNS.some((one) => one === name)) continue;
+    if (FIXED_NAMES.has(name)) continue;
     const match = /^(rate|burst):(.*)$/s.exec(name);
     const account = match?.[2] ?? "";
     if (match === null) {
--- a/src/table/consistency.ts
+++ b/src/table/consistency.ts
@@ -13,11 +13,12 @@
   checkPairs(rows, note);
   checkDomains(rows, note, hasError);
   checkServices(rows, note, hasError);
+  const services = Rows.groupByService(rows);
   for (const account of accounts) {
     // Without one of its two columns, the account's header error says enough.
     const isWhole = !hasError(1, `rate:${account}`) &&
       !hasError(1, `burst:${account}`);
-    if (isWhole) checkBursts(rows, account, note);
+    if (isWhole) checkBursts(services, account, note);
   }
 }
 
@@ -101,11 +102,11 @@
 
 /** A bucket that never holds one whole token would refuse every request. */
 function checkBursts(
-  rows: readonly Rows.ReadRow[],
+  services: ReturnType<typeof Rows.groupByService>,
   account: Types.Account,
   note: Errors.Note,
 ): void {
-  for (const [service, reads] of Rows.groupByService(rows)) {
+  for (const [service, reads] of services) {
     const cells = reads.flatMap((read) => {
       const cell = read.row.accounts.get(account);
       return cell === undefined ? [] : [{ number: read.number, cell }];
