Rank a key's shards without arrays

Cause: the ranking of a key made nine arrays, and collecting them took a quarter of the time of building 10,006 keys. Change: scores go into one reused array; ranks are counted in a loop.

--- a/src/budget/division.ts
+++ b/src/budget/division.ts
@@ -112,19 +112,26 @@
   domain: Types.Domain,
 ): (key: Contracts.BudgetKey) => Ranks {
   const known = new Map<Contracts.BudgetKey, Ranks>();
+  const scores = new Uint32Array(SHARDS_PER_DOMAIN);
   const prefixes = Array.from(
     { length: SHARDS_PER_DOMAIN },
     (_, shard) => continueHash(FNV_OFFSET, `${domain}/${shard}/`),
   );
 
   function rank(key: Contracts.BudgetKey): Ranks {
-    const scores = prefixes.map((prefix) => mix(continueHash(prefix, key)));
-    return scores.reduce((ranks, score, shard) => {
-      const before = scores.filter((other, i) =>
-        other > score || (other === score && i < shard)
-      );
-      return ranks | (before.length << (shard * RANK_BITS));
-    }, 0);
+    let ranks = 0;
+    for (let shard = 0; shard < SHARDS_PER_DOMAIN; shard++) {
+      const score = mix(continueHash(prefixes[shard] ?? 0, key));
+      scores[shard] = score;
+      // Behind every lower shard with an equal or higher score, before the others.
+      let before = 0;
+      for (let lower = 0; lower < shard; lower++) {
+        if ((scores[lower] ?? 0) >= score) before++;
+        else ranks += 1 << (lower * RANK_BITS);
+      }
+      ranks += before << (shard * RANK_BITS);
+    }
+    return ranks;
   }
 
   return (key) => {
