Send probes through undici's dispatch

Cause: probes are most of an idle instance's work. `undici.request` adds a stream, an abort signal with its listeners, the parsing of an address and two coarse timers to each of the two calls of a probe. Change: a call passes a handler to `dispatch`, with one timer of its own; the answer's bounds, time-outs and outcomes are as before.

--- a/src/targets/prober.ts
+++ b/src/targets/prober.ts
@@ -26,6 +26,8 @@
 /** Share of one slot's time that the probes of all instances without own slots may cost. */
 const PROBE_COST_SHARE = 0.15;
 
+const TIMED_OUT = new Error("no answer to a probe in time");
+
 /** Sends probes until it is stopped. */
 export interface Prober {
   /** Runs until `signal` aborts. */
@@ -78,25 +80,58 @@
   }
 }
 
-async function call(
+function createFailure(reach: Health.ProbeReach): CallResult {
+  return { reach, isLeaving: false, body: {} };
+}
+
+/**
+ * One call of a probe; never rejects. It uses undici's dispatch, because
+ * `request` adds a stream, an abort signal and the parsing of an address to
+ * each call, and probes are most of what an idle instance does.
+ */
+function call(
   dispatcher: Undici.Dispatcher,
-  url: string,
+  origin: string,
+  path: string,
 ): Promise<CallResult> {
-  const abort = new AbortController();
-  const timer = setTimeout(() => abort.abort(), CALL_TIMEOUT_MS);
-  try {
-    const { signal } = abort;
-    const res = await Undici.request(url, { dispatcher, signal });
-    const body = parseBody(await res.body.text());
-    const isMarked = res.headers["target-state"] === "leaving";
-    const isLeaving = isMarked || body["state"] === "leaving";
-    const reach = res.statusCode === 200 ? "ok" : "failed";
-    return { reach, isLeaving, body };
-  } catch (err) {
-    return { reach: classifyError(err), isLeaving: false, body: {} };
-  } finally {
-    clearTimeout(timer);
-  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let controller: Undici.Dispatcher.DispatchController | undefined;
+    let status = 0;
+    let isMarked = false;
+    let isOver = false;
+
+    function finish(result: CallResult): void {
+      isOver = true;
+      clearTimeout(timer);
+      resolve(result);
+    }
+
+    const timer = setTimeout(() => {
+      finish(createFailure("failed"));
+      controller?.abort(TIMED_OUT);
+    }, CALL_TIMEOUT_MS);
+
+    dispatcher.dispatch({ origin, path, method: "GET" }, {
+      onRequestStart(started) {
+        controller = started;
+        // The time may be over before there is a connection.
+        if (isOver) started.abort(TIMED_OUT);
+      },
+      onResponseStart(_, statusCode, headers) {
+        status = statusCode;
+        isMarked = headers["target-state"] === "leaving";
+      },
+      onResponseData: (_, chunk) => void chunks.push(chunk),
+      onResponseEnd() {
+        const body = parseBody(Buffer.concat(chunks).toString());
+        const isLeaving = isMarked || body["state"] === "leaving";
+        const reach = status === 200 ? "ok" : "failed";
+        finish({ reach, isLeaving, body });
+      },
+      onResponseError: (_, err) => finish(createFailure(classifyError(err))),
+    });
+  });
 }
 
 function parseLoad(
@@ -118,13 +153,13 @@
   entry: Entry.Entry,
   startedAtMs: number,
 ): Promise<Health.ProbeResult> {
-  const base = `http://${entry.info.address}`;
-  const health = await call(dispatcher, `${base}/healthz`);
+  const origin = `http://${entry.info.address}`;
+  const health = await call(dispatcher, origin, "/healthz");
   if (health.reach === "refused" || health.reach === "unreachable") {
     const { reach } = health;
     return { reach, startedAtMs, isLeaving: false, load: undefined };
   }
-  const load = await call(dispatcher, `${base}/load`);
+  const load = await call(dispatcher, origin, "/load");
   return {
     reach: health.reach,
     startedAtMs,
@@ -195,6 +230,9 @@
       // Not within `connect`, where undici overwrites it.
       ...localAddress === undefined ? {} : { localAddress },
       keepAliveTimeout: IDLE_CONNECTION_MS,
+      // Each call has its own timer.
+      headersTimeout: 0,
+      bodyTimeout: 0,
       maxResponseSize: MAX_BODY_BYTES,
     });
     pool.setProbeWanted((entry) => {
