--- a/src/budget/table_history.ts
+++ b/src/budget/table_history.ts
@@ -46,21 +46,6 @@
   let entries: readonly Entry[] = [];
   let completeAtMs = Infinity;
 
-  function sumShares(
-    division: Division.Division,
-    shards: Iterable<number>,
-    key: Contracts.BudgetKey,
-  ): Bucket.Limits {
-    let rate = 0;
-    let burst = 0;
-    const shares = division.getShardShares(domain, key);
-    for (const shard of shards) {
-      rate += shares[shard]?.rate ?? 0;
-      burst += shares[shard]?.burst ?? 0;
-    }
-    return { rate, burst };
-  }
-
   return {
     add(division) {
       const settledAtMs = clock.nowMs() + growDelayMs;
@@ -93,7 +78,7 @@
       let rate = Infinity;
       let burst = Infinity;
       for (const { division } of entries) {
-        const sum = sumShares(division, shards, key);
+        const sum = division.getShardsShare(domain, shards, key);
         rate = Math.min(rate, sum.rate);
         burst = Math.min(burst, sum.burst);
       }
