Pause between targets that shed, so that a slot may become free

Change: pauses of up to 25, 50 and 100 ms from the third target on, five attempts. Targets that could not be reached are followed at once, as before. The new test in admission_test is answered 200; 503 before.

--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -1,13 +1,15 @@
 /**
- * Runs a request at a target, with at most one retry. Promise: a request is
- * sent a second time only when it is a read or when the first target did not
- * run it, and "not run" is said only when no byte left or the target said so.
+ * Runs a request at a target, with bounded retries. Promise: a request is sent
+ * again only when it is a read or when the target before did not run it, and
+ * "not run" is said only when no byte left or the target said so.
  */
+import * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
 import * as Debug from "../debug.ts";
 import type * as Exchange from "../forward/exchange.ts";
 import * as Headers from "../forward/headers.ts";
 import * as Respond from "../forward/respond.ts";
+import * as ResultCodes from "../result_codes.ts";
 import * as Account from "./account.ts";
 import * as Context from "./context.ts";
 import * as Place from "./place.ts";
@@ -36,7 +38,16 @@
  * target only, requests inside their account's rate were refused when two
  * targets in a row shed load.
  */
-const MAX_ATTEMPTS = 4;
+const MAX_ATTEMPTS = 5;
+/**
+ * Pause after the second target that shed, doubled with each further one.
+ * Without it all attempts fell within a few milliseconds, in which no slot
+ * became free anywhere.
+ */
+const SHED_BACKOFF_MS = 25;
+const FIRST_PAUSED_ATTEMPT = 2;
+/** Part of the remaining time that a pause may take. */
+const MAX_BACKOFF_FRACTION = 0.1;
 const STATUS_SHED = 503;
 /** An answer from this status on is no proof that the request does no harm. */
 const STATUS_SERVER_ERROR = 500;
@@ -73,9 +84,32 @@
       deps.retries.tryRetry(ctx.route.service);
     if (!mayRetry) return getFinalResult(ended, broken > 0);
     deps.metrics.count("retries_total");
+    if (isShed(ended) && attempt >= FIRST_PAUSED_ATTEMPT) {
+      await pauseAfterShed(deps, ctx, attempt, signal);
+    }
   }
 }
 
+/** Jitter keeps requests that were shed together from coming back together. */
+async function pauseAfterShed(
+  deps: Context.Deps,
+  ctx: Context.Context,
+  attempt: number,
+  signal: AbortSignal,
+): Promise<void> {
+  const remainingMs = Context.getRemainingMs(ctx, deps.clock);
+  const longestMs = Math.min(
+    SHED_BACKOFF_MS * 2 ** (attempt - FIRST_PAUSED_ATTEMPT),
+    remainingMs * MAX_BACKOFF_FRACTION,
+  );
+  await Clock.sleep(longestMs * (0.5 + Math.random() / 2), signal);
+}
+
+function isShed(ended: Retriable): boolean {
+  return ended.kind === "not-run" &&
+    ended.refusal.failure.code === ResultCodes.codes.shedByTarget;
+}
+
 /** True for reads that another attempt may follow when the target breaks. */
 function isRepeatableRead(ctx: Context.Context): boolean {
   return Context.isRead(ctx.method) && !ctx.isOnce &&
--- a/tests/admission_test.ts
+++ b/tests/admission_test.ts
@@ -28,6 +28,19 @@
       expect(rig.instance.broken).toEqual(["t1", "t1"]);
     });
 
+    it("guards against a refusal because all targets shed within the same milliseconds", async () => {
+      for (const one of [rig.first, rig.second]) {
+        one.setFaults({ shedAll: true });
+      }
+      const asked = Requests.ask(rig.instance.address, {
+        method: "PUT",
+        body: "x",
+      });
+      // Less than the pauses after the second and third target, 37 ms at least.
+      setTimeout(() => rig.first.setFaults({ shedAll: false }), 20);
+      expect((await asked).status).toBe(200);
+    });
+
     it("says not run only when every target refused, and gives the tokens back", async () => {
       rig.first.setFaults({ shedAll: true });
       expect(
