Prove that an outage of the store alone refuses no request within the rate

Cause: the bench recovery measures an outage after the kill of an instance and only with refused connections, where calls fail at once. An outage in which the store accepts connections and answers nothing was not measured, and no test guarded either.

Change: the bench outage, with all instances running: the store refuses connections for 15 s, then hangs for 15 s, each with 4 s afterwards, bound 0 refusals.

--- a/testing/bench/main.ts
+++ b/testing/bench/main.ts
@@ -18,6 +18,7 @@
   propagation: async () => (await import("./propagation.ts")).run,
   lookup: async () => (await import("./lookup.ts")).run,
   recovery: async () => (await import("./recovery.ts")).run,
+  outage: async () => (await import("./outage.ts")).run,
   heartbeats: async () => (await import("./heartbeats.ts")).run,
   probes: async () => (await import("./probes.ts")).run,
   store: async () => (await import("./store.ts")).run,
