Hand shards over between instances whose tables differ

Cause: a receiver refused a handover when its table was not the giver's. The shard then stayed unused until it was adopted, 2 s later at least and only when the store had been reachable for a lease period: near the start of an instance up to 10 s.

Change: the condition and the field tableRevision are gone from shards.handover, and givers no longer look for receivers with the same table. Each holder is bounded by every table in use, whichever it received last.

Test: "guards against shards that a newcomer refuses because it has a newer table than their giver" failed before (the newcomer held none after 20 edits). npx vitest run tests/shards_test.ts with ANVILROUTE_RUNS=60: 29 passed.

--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -68,7 +68,6 @@
   readonly incarnation: string;
   readonly epoch: number;
   readonly version: number;
-  readonly tableRevision: number;
   readonly levels: Holdings.ShardLevels;
 }
 
@@ -156,7 +155,7 @@
   const raw = asRaw(params);
   const isGood = typeof raw?.domain === "string" && isAmount(raw.shard) &&
     typeof raw.incarnation === "string" && isAmount(raw.epoch) &&
-    isAmount(raw.version) && isAmount(raw.tableRevision) &&
+    isAmount(raw.version) &&
     areLevels(raw.levels);
   return isGood ? (raw as unknown as HandOverRequest) : undefined;
 }
--- a/src/budget/ownership.ts
+++ b/src/budget/ownership.ts
@@ -157,8 +157,7 @@
   }
 
   function getReceivers(): readonly Types.InstanceId[] {
-    const revision = holdings.tryGetDivision()?.revision;
-    return Plan.listReceivers(store.getMembers(), peers, revision);
+    return Plan.listReceivers(store.getMembers(), peers);
   }
 
   async function balance(
@@ -181,8 +180,7 @@
   ): Promise<void> {
     const incarnation = store.getMembers().get(to);
     const old = store.tryGetKnown(shard);
-    const tableRevision = holdings.tryGetDivision()?.revision;
-    if (!incarnation || !old || tableRevision === undefined) return;
+    if (!incarnation || !old) return;
     const levels = stop(shard, "handover");
     const epoch = old.epoch + 1;
     const owner = { id: to, incarnation };
@@ -194,7 +192,6 @@
       incarnation,
       epoch,
       version,
-      tableRevision,
       levels,
     };
     const method = Messages.METHODS.handOver;
@@ -208,9 +205,8 @@
 
   function receive(req: Messages.HandOverRequest): boolean {
     const { shard, epoch } = req;
-    const revision = holdings.tryGetDivision()?.revision;
     const isForThis = req.domain === domain &&
-      req.incarnation === deps.incarnation && req.tableRevision === revision;
+      req.incarnation === deps.incarnation;
     // A late or doubled message must not refill a shard that moved on.
     const isNew = epoch > (startedEpoch.get(shard) ?? 0) &&
       epoch >= (store.tryGetKnown(shard)?.epoch ?? 0);
--- a/src/budget/shard_plan.ts
+++ b/src/budget/shard_plan.ts
@@ -92,18 +92,19 @@
   return counts;
 }
 
-/** Domain peers that can receive a shard: registered, live and with the same table. */
+/**
+ * Domain peers that can receive a shard: registered and live. Their table may
+ * differ, as every holder is bounded by each table in use.
+ */
 export function listReceivers(
   members: MemberMap,
   peers: Contracts.PeerNet,
-  tableRevision: number | undefined,
 ): readonly Types.InstanceId[] {
   return [...members].filter(([id, incarnation]) => {
     const member = id === peers.self ? undefined : peers.tryGetMember(id);
     return member !== undefined && member.isReachable &&
       member.heartbeat.state === "live" &&
-      member.heartbeat.incarnation === incarnation &&
-      member.heartbeat.tableRevision === tableRevision;
+      member.heartbeat.incarnation === incarnation;
   }).map(([id]) => id);
 }
 
--- a/tests/shards_test.ts
+++ b/tests/shards_test.ts
@@ -262,6 +262,25 @@
     expect(fleet.budgets("a2").getShards()).toHaveLength(4);
   });
 
+  it("guards against shards that a newcomer refuses because it has a newer table than their giver", async () => {
+    const fleet = createQuietFleet();
+    await fleet.start("a1", "b1");
+    fleet.addNode("a2", "da", fleet.table);
+    for (let revision = 2; revision < 22; revision++) {
+      const next = Fakes.createTable(revision, REGIONS, CELLS);
+      fleet.setTable("a2", next);
+      for (let i = 0; i < 20; i++) {
+        if (i === 10) fleet.setTable("a1", next);
+        await fleet.time.advance(50);
+        const held = ["a1", "a2"].flatMap((id) =>
+          fleet.budgets(id).getShards()
+        );
+        expect(held.length).toBeGreaterThanOrEqual(7);
+      }
+    }
+    expect(fleet.budgets("a2").getShards()).toHaveLength(4);
+  });
+
   it("guards against a holder that was paused past its lease and admits after it", async () => {
     const fleet = createQuietFleet();
     await fleet.start("a1", "a2", "b1");
