Let the records of targets outlast a kill

Cause: answers of not-run were not compared with targets that were killed, because their records ended with them. Reading the records before a kill misses what starts in between.

Writes to a pipe are synchronous, so that what was printed before the kill is read.

--- a/testing/fleet/fleet.ts
+++ b/testing/fleet/fleet.ts
@@ -8,6 +8,7 @@
 import * as Control from "../harness/control.ts";
 import * as Platform from "../harness/platform.ts";
 import * as Process from "../harness/process.ts";
+import * as HttpJson from "../http_json.ts";
 import * as Settings from "../harness/settings.ts";
 import * as Wait from "../harness/wait.ts";
 import type * as Records from "../target/records.ts";
@@ -35,6 +36,9 @@
   readonly region: string;
   readonly listen: Types.Address;
   readonly process: Process.ManagedProcess;
+  /** True while records can be had: it runs, or they are streamed. */
+  hasRecords(): boolean;
+  /** Of a target that has ended, those that it streamed. */
   getRecords(): Promise<readonly Records.ExecutionRecord[]>;
   getStats(): Promise<Readonly<Record<string, number>>>;
   setFaults(faults: unknown): Promise<void>;
@@ -45,6 +49,8 @@
   readonly layout: Layout.FleetLayout;
   readonly tableCsv: string;
   readonly listLagMs?: number;
+  /** Lets the records of targets outlast them. */
+  readonly streamRecords?: boolean;
   /** Changes to each instance's settings. */
   readonly settings?: Partial<Settings.SettingsOptions>;
   /** Puts every listener behind endpoints of this network. */
@@ -59,6 +65,8 @@
   readonly targets: readonly FleetTarget[];
   /** Plaintext key of each account. */
   readonly keys: ReadonlyMap<string, string>;
+  /** The newest process of an instance; throws when there was none. */
+  getInstance(id: string): FleetInstance;
   /** Stores a table as the tool would; returns its revision. */
   writeTable(csv: string): Promise<number>;
   /** Starts one more instance, or a stopped one again. */
@@ -122,6 +130,12 @@
   return written.unwrap();
 }
 
+/** A record that a target printed; undefined for another line and for one that the kill cut. */
+function tryReadRecord(line: string): Records.ExecutionRecord | undefined {
+  const fields = HttpJson.tryParseObject(line);
+  return fields?.["record"] as Records.ExecutionRecord | undefined;
+}
+
 interface InstanceEndpoints {
   readonly caller: Network.Endpoint;
   readonly peer: Network.Endpoint;
@@ -178,6 +192,7 @@
     region: string,
   ): Promise<FleetTarget> {
     const endpoint = await network?.createEndpoint(domain);
+    const streamed = new Map<number, Records.ExecutionRecord>();
     const process = await Process.startProcess({
       script: "testing/target/main.js",
       name: id,
@@ -188,7 +203,12 @@
         ...["--service-ms", String(service.serviceMs)],
         ...["--platform", platform.address],
         ...endpoint === undefined ? [] : ["--advertise", endpoint.address],
+        ...opts.streamRecords === true ? ["--stream-records"] : [],
       ],
+      onOutput(line) {
+        const record = tryReadRecord(line);
+        if (record !== undefined) streamed.set(record.seq, record);
+      },
     });
     endpoint?.setTarget(process.getText("listen"));
     const control = Control.createControlClient(process.getText("control"));
@@ -199,7 +219,9 @@
       region,
       listen: process.getText("listen"),
       process,
+      hasRecords: () => process.isRunning() || opts.streamRecords === true,
       async getRecords() {
+        if (!process.isRunning()) return [...streamed.values()];
         const body = await control("GET", "/records");
         return (body as { records: readonly Records.ExecutionRecord[] })
           .records;
@@ -300,6 +322,11 @@
     instances,
     targets,
     keys,
+    getInstance(id) {
+      const found = instances.findLast((one) => one.id === id);
+      if (found === undefined) throw new Error(`no instance ${id}`);
+      return found;
+    },
     writeTable,
     startInstance,
     startTarget,
--- a/testing/fleet/proof.ts
+++ b/testing/fleet/proof.ts
@@ -92,6 +92,7 @@
     layout: proofLayout,
     tableCsv: formatProofTable(opts.table),
     network,
+    streamRecords: true,
     settings: { lookupMaxAgeMs: 500, ...opts.settings },
   });
   const journal = Requests.createJournal(fleet);
--- a/testing/fleet/requests.ts
+++ b/testing/fleet/requests.ts
@@ -80,7 +80,7 @@
     account: string,
     count: number,
   ): Promise<readonly string[]>;
-  /** Records of all targets, by marker; those of a killed target as last read. */
+  /** Records of all targets, by marker; those of a killed target as streamed or last read. */
   getRecords(): Promise<ReadonlyMap<string, readonly TargetRecord[]>>;
   /** Records of one message, without refusals by the target. */
   getRuns(message: Message): Promise<readonly TargetRecord[]>;
@@ -239,7 +239,7 @@
   async function getRecords() {
     const byMarker = new Map<string, TargetRecord[]>();
     for (const target of fleet.targets) {
-      if (target.process.isRunning()) {
+      if (target.hasRecords()) {
         snapshots.set(target.id, await target.getRecords());
       }
       for (const record of snapshots.get(target.id) ?? []) {
@@ -260,7 +260,7 @@
   async function check(): Promise<Verdict> {
     const records = await getRecords();
     const ended = new Set(
-      fleet.targets.filter((one) => !one.process.isRunning())
+      fleet.targets.filter((one) => !one.hasRecords())
         .map((one) => one.id),
     );
     const messages = new Map(
--- a/testing/fleet/windows.ts
+++ b/testing/fleet/windows.ts
@@ -50,7 +50,7 @@
 
   return {
     async collect() {
-      const live = fleet.targets.filter((one) => one.process.isRunning());
+      const live = fleet.targets.filter((one) => one.hasRecords());
       await Promise.all(live.map(collectFrom));
     },
     getStarts: () => [...starts.values()].toSorted((a, b) => a.atMs - b.atMs),
--- a/testing/harness/process.ts
+++ b/testing/harness/process.ts
@@ -22,6 +22,8 @@
   /** Name in messages of the harness. */
   readonly name: string;
   readonly readyLimitMs?: number;
+  /** Gets each line of standard output after the ready line. */
+  readonly onOutput?: (line: string) => void;
 }
 
 /** How a process ended: `code` is undefined after a signal. */
@@ -144,7 +146,11 @@
     });
   });
   const output = createTail();
-  const ready = await waitForReady(child, opts, exited, tail.get, output.add);
+  const onOutput = (line: string) => {
+    output.add(line);
+    opts.onOutput?.(line);
+  };
+  const ready = await waitForReady(child, opts, exited, tail.get, onOutput);
   const isRunning = () => running.has(child);
 
   return {
--- a/testing/target/exchange.ts
+++ b/testing/target/exchange.ts
@@ -148,6 +148,7 @@
     req.resume();
     sendJson(res, 503, { error: "all slots are in use" });
     record.endedWallMs = Date.now();
+    state.records.note(record);
   }
 
   /** Waits for the service time; false when the caller or the deadline ended it. */
@@ -206,6 +207,7 @@
       running.delete(record);
       record.endedWallMs = Date.now();
       if (record.outcome === "running") record.outcome = "cancelled";
+      state.records.note(record);
     });
     if (state.faults.crashOn && record.path.includes(state.faults.crashOn)) {
       return crash();
@@ -215,6 +217,7 @@
     record.bodySha256 = body.sha256;
     record.requestBodyBytes = body.bytes;
     record.trailers = Records.toPairs(req.rawTrailers);
+    state.records.note(record);
     const isDone = await work(req, res, url);
     if (record.outcome !== "running") return;
     record.outcome = isDone ? "executed" : "cancelled";
--- a/testing/target/main.ts
+++ b/testing/target/main.ts
@@ -1,5 +1,6 @@
 /** Command line of the target stand-in; prints one JSON line when it is ready. */
 import { Command, InvalidArgumentError } from "commander";
+import type * as Records from "./records.ts";
 import * as StandIn from "./stand_in.ts";
 
 const CRASH_EXIT_CODE = 70;
@@ -8,6 +9,7 @@
 
 interface CommandLine extends StandIn.StandInOptions {
   readonly leaveMs: number;
+  readonly streamRecords?: boolean;
 }
 
 function parseCount(text: string): number {
@@ -30,6 +32,7 @@
   .option("--cold-ms <ms>", "time of slower answers after start", parseCount)
   .option("--crash-on <text>", "exit on a path that contains the text")
   .option("--max-records <n>", "records kept", parseCount)
+  .option("--stream-records", "print records, so that they outlast a kill")
   .option(
     "--leave-ms <ms>",
     "time between leaving and the end",
@@ -39,8 +42,15 @@
   .parse();
 
 const opts = program.opts<CommandLine>();
+
+/** Writes to a pipe are synchronous, so what is printed before a kill is read. */
+function printRecord(record: Records.ExecutionRecord): void {
+  process.stdout.write(JSON.stringify({ record }) + "\n");
+}
+
 const standIn = await StandIn.createTargetStandIn({
   ...opts,
+  ...opts.streamRecords === true ? { onRecord: printRecord } : {},
   onCrash: () => process.exit(CRASH_EXIT_CODE),
 });
 
--- a/testing/target/records.ts
+++ b/testing/target/records.ts
@@ -54,6 +54,8 @@
 /** Bounded list of records. */
 export interface Records {
   add(record: Omit<ExecutionRecord, "seq">): OpenRecord;
+  /** Tells the listener of a change of an open record. */
+  note(record: OpenRecord): void;
   /** Records with `seq` above `after`, oldest first. */
   list(after?: number): readonly ExecutionRecord[];
   getDropped(): number;
@@ -70,8 +72,11 @@
   return pairs;
 }
 
-/** Creates an empty list that keeps at most `maxRecords`. */
-export function createRecords(maxRecords: number): Records {
+/** Creates an empty list that keeps at most `maxRecords`; `onChange` gets every new and noted record. */
+export function createRecords(
+  maxRecords: number,
+  onChange: (record: ExecutionRecord) => void = () => {},
+): Records {
   let records: OpenRecord[] = [];
   let nextSeq = 1;
   let dropped = 0;
@@ -88,8 +93,10 @@
       records.push(open);
       // Dropping in batches keeps the cost per record constant.
       if (records.length > maxRecords * 1.1 + 100) dropOldest();
+      onChange(open);
       return open;
     },
+    note: onChange,
     list: (after = 0) => records.filter((record) => record.seq > after),
     getDropped: () => dropped,
   };
--- a/testing/target/stand_in.ts
+++ b/testing/target/stand_in.ts
@@ -38,6 +38,8 @@
   readonly coldMs?: number | undefined;
   readonly crashOn?: string | undefined;
   readonly maxRecords?: number | undefined;
+  /** Gets each record as it starts, when its body is read, and as it ends. */
+  readonly onRecord?: (record: Records.ExecutionRecord) => void;
   /** Called on a crash in mode `exit`; the default closes the listeners. */
   readonly onCrash?: () => void;
 }
@@ -99,7 +101,10 @@
   const faults = { crashOn: opts.crashOn, coldMs: opts.coldMs };
   return {
     opts,
-    records: Records.createRecords(opts.maxRecords ?? DEFAULT_MAX_RECORDS),
+    records: Records.createRecords(
+      opts.maxRecords ?? DEFAULT_MAX_RECORDS,
+      opts.onRecord,
+    ),
     faults: Faults.mergeFaults({}, faults),
     coldSinceMs: performance.now(),
     frozenInUse: 0,
