Let the stop proofs notice missing hand-overs

Cause: four of six tests passed without the hand-over of ledger and shards. Their callers never use the tickets of an instance that has stopped, and the limits are so wide that unused shards are not missed.

Change: each test holds a used and an unused ticket of every instance that stops, and sends both elsewhere afterwards: the same answer for the first, a run for the second, one execution each. With the store up no shard may still name the process that stopped. Ended instances are started again after each test, so that a failure says nothing of the next one.

--- a/testing/fleet/traffic.ts
+++ b/testing/fleet/traffic.ts
@@ -111,7 +111,7 @@
 ): Promise<ReadonlyMap<string, number>> {
   const counts = new Map<string, number>();
   for (const target of fleet.targets) {
-    if (!target.process.isRunning()) continue;
+    if (!target.hasRecords()) continue;
     for (const record of await target.getRecords()) {
       const { idempotencyKey: id, outcome } = record;
       if (id === undefined || outcome === "shed") continue;
@@ -120,3 +120,21 @@
   }
   return counts;
 }
+
+/** Answered orders that did not run once, and tickets that ran more than once. */
+export async function findWrongOrders(
+  fleet: Fleet.Fleet,
+  orders: readonly Call[],
+): Promise<readonly string[]> {
+  const executions = await countExecutions(fleet);
+  const answered = orders.filter((one) => one.kind === "answered");
+  const wrong = answered.map(({ ticket }) => ({
+    ticket,
+    count: executions.get(getIdempotencyId(ticket)) ?? 0,
+  })).filter(({ count }) => count !== 1);
+  const twice = [...executions].filter(([, count]) => count > 1);
+  return [
+    ...wrong.map(({ ticket, count }) => `${ticket} ran ${count} times`),
+    ...twice.map(([id, count]) => `${id} ran ${count} times`),
+  ];
+}
--- a/tests/proofs/config_test.ts
+++ b/tests/proofs/config_test.ts
@@ -51,11 +51,7 @@
     await fleet.stop();
   });
 
-  function getInstance(id: string): Fleet.FleetInstance {
-    const found = fleet.instances.findLast((one) => one.id === id);
-    if (found === undefined) throw new Error(`no instance ${id}`);
-    return found;
-  }
+  const getInstance = (id: string) => fleet.getInstance(id);
 
   function getRunning(): readonly Fleet.FleetInstance[] {
     return fleet.instances.filter((one) => one.process.isRunning());
--- a/tests/proofs/golden_test.ts
+++ b/tests/proofs/golden_test.ts
@@ -38,11 +38,7 @@
   });
   afterAll(() => fleet.stop());
 
-  function getInstance(id: string): Fleet.FleetInstance {
-    const found = fleet.instances.findLast((one) => one.id === id);
-    if (found === undefined) throw new Error(`no instance ${id}`);
-    return found;
-  }
+  const getInstance = (id: string) => fleet.getInstance(id);
 
   it("keep a caller's requests, headers and outcomes as they are documented", async () => {
     const entry = getInstance("north-1-a");
--- a/tests/proofs/stop_test.ts
+++ b/tests/proofs/stop_test.ts
@@ -1,11 +1,12 @@
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
-import * as Undici from "undici";
 import * as Clock from "../../src/clock.ts";
 import * as Fleet from "../../testing/fleet/fleet.ts";
 import * as Small from "../../testing/fleet/small.ts";
+import * as Stops from "../../testing/fleet/stops.ts";
 import * as Traffic from "../../testing/fleet/traffic.ts";
-import * as Wait from "../../testing/harness/wait.ts";
 
+/** An instance of one test only. */
+const JOINING = "north-1-d";
 const LOOKUP_MAX_AGE_MS = 1_000;
 const LONG_LOOKUP_AGE_MS = 4_000;
 const DEADLINE_MS = 4_000;
@@ -41,46 +42,20 @@
   afterEach(async () => {
     for (const one of fleet.instances) one.process.resume();
     await fleet.platform.setFaults({ availability: "up", slowMs: 0 });
+    const ids = new Set(fleet.instances.map((one) => one.id));
+    ids.delete(JOINING);
+    const ended = [...ids].filter((id) => !getInstance(id).process.isRunning());
+    // A test that fails leaves the next ones the same fleet.
+    await Promise.all(ended.map(restart));
   });
   afterAll(() => fleet.stop());
 
-  /** The running process of an instance. */
-  function getInstance(id: string): Fleet.FleetInstance {
-    const found = fleet.instances.findLast((one) => one.id === id);
-    if (found === undefined) throw new Error(`no instance ${id}`);
-    return found;
-  }
-
-  async function restart(id: string): Promise<void> {
-    const { domain, region } = getInstance(id);
-    const next = await fleet.startInstance(id, domain, region);
-    await Wait.waitFor(
-      async () => (await fetch(`http://${next.probe}/healthz`)).status === 200,
-      15_000,
-      `${id} is live again`,
-    );
-  }
+  const getInstance = (id: string) => fleet.getInstance(id);
 
-  function startTraffic(readPath = "/bikes"): readonly Traffic.Traffic[] {
-    const base = { readers: 8, orderers: 4, pauseMs: 60 };
-    return [
-      Traffic.startTraffic(fleet, "booking", { ...base, account: "club" }),
-      Traffic.startTraffic(fleet, "booking", {
-        ...base,
-        account: "hut",
-        readPath,
-        orderPath: "/bookings?ms=600",
-      }),
-    ];
-  }
+  const restart = (id: string) => Stops.restartInstance(fleet, id);
 
-  async function endTraffic(
-    traffic: readonly Traffic.Traffic[],
-  ): Promise<readonly Traffic.Call[]> {
-    const calls = (await Promise.all(traffic.map((one) => one.end()))).flat();
-    console.log(`calls by outcome: ${Traffic.summarize(calls)}`);
-    return calls;
-  }
+  const startTraffic = (readPath?: string) =>
+    Stops.startTraffic(fleet, readPath);
 
   /** Every call was answered, and every answered order ran once. */
   async function expectNothingCut(calls: readonly Traffic.Call[]) {
@@ -92,158 +67,102 @@
   }
 
   async function expectOrdersOnce(orders: readonly Traffic.Call[]) {
-    const executions = await Traffic.countExecutions(fleet);
-    const wrong = orders.filter((one) => one.kind === "answered")
-      .filter(({ ticket }) =>
-        executions.get(Traffic.getIdempotencyId(ticket)) !== 1
-      );
-    expect(wrong, "answered orders that did not run once").toEqual([]);
-    const twice = [...executions].filter(([, count]) => count > 1);
-    expect(twice, "tickets that ran more than once").toEqual([]);
-  }
-
-  /** Sends on one kept connection to the instance while its look-up answer may be used. */
-  async function sendWithCachedLookup(
-    instance: Fleet.FleetInstance,
-  ): Promise<readonly string[]> {
-    const headers = { "anvilroute-key": fleet.keys.get("club") ?? "" };
-    const agent = new Undici.Agent({ connections: 1 });
-    const origin = `http://${instance.caller}`;
-    const untilMs = performance.now() + LONG_LOOKUP_AGE_MS;
-    const bad: string[] = [];
-    const send = async (path: string) => {
-      const sentMs = Math.round(untilMs - performance.now());
-      try {
-        const res = await Undici.request(`${origin}/s/booking${path}`, {
-          dispatcher: agent,
-          headers,
-        });
-        await res.body.text();
-        if (res.statusCode === 200) return;
-        bad.push(`${path} ${res.statusCode} ${sentMs} ms before expiry`);
-      } catch (err) {
-        bad.push(`${path} ${String(err)} ${sentMs} ms before expiry`);
-      }
-    };
-    while (performance.now() < untilMs - 60) {
-      await send("/bikes");
-      await Clock.sleep(20);
-    }
-    // The last request leaves just before the look-up lapses and takes long.
-    await send(SLOW_PATH);
-    await agent.close();
-    return bad;
+    expect(await Traffic.findWrongOrders(fleet, orders)).toEqual([]);
   }
 
   async function stopInstance(
     id: string,
     lookupAgeMs = LOOKUP_MAX_AGE_MS,
+    isStoreUp = true,
   ): Promise<void> {
-    const startedMs = performance.now();
-    const { process } = getInstance(id);
-    const exit = await process.stop(STOP_BOUND_MS + lookupAgeMs);
-    const log = process.getLog().slice(-30).join("\n");
-    expect(exit, `${id} ends by itself:\n${log}`).toEqual({
-      code: 0,
-      signal: undefined,
-    });
-    const ms = Math.round(performance.now() - startedMs);
-    console.log(`${id} stopped in ${ms} ms`);
+    const limitMs = STOP_BOUND_MS + lookupAgeMs;
+    const problems = await Stops.stopInstance(fleet, id, limitMs, isStoreUp);
+    expect(problems).toEqual([]);
+  }
+
+  const holdTickets = (...ids: readonly string[]) =>
+    Promise.all(ids.map((id) => Stops.holdTickets(fleet, getInstance(id))));
+  async function expectAnswered(held: readonly Stops.HeldTickets[]) {
+    const at = getInstance("south-1-a");
+    expect(await Stops.checkTickets(held, at)).toEqual([]);
   }
 
   it("cuts no request of callers with a cached look-up, a slow answer or an order in flight", async () => {
     // Longer than the announcement, so that the wait for look-ups shows.
-    const leaving = await fleet.startInstance("north-1-d", "north-1", "north", {
+    const leaving = await fleet.startInstance(JOINING, "north-1", "north", {
       lookupMaxAgeMs: LONG_LOOKUP_AGE_MS,
     });
     const traffic = startTraffic(SLOW_PATH);
     await Clock.sleep(1_000);
     const stopping = stopInstance(leaving.id, LONG_LOOKUP_AGE_MS);
-    const cached = await sendWithCachedLookup(leaving);
+    const cached = await Stops.sendWithCachedLookup(
+      fleet,
+      leaving,
+      LONG_LOOKUP_AGE_MS,
+      SLOW_PATH,
+    );
     await stopping;
     await Clock.sleep(500);
-    const calls = await endTraffic(traffic);
+    const calls = await traffic.end();
     expect(cached).toEqual([]);
     await expectNothingCut(calls);
   });
 
   it("answers a resent order after its issuer has stopped, and does not run it again", async () => {
-    const issuer = getInstance("north-1-b");
-    const other = getInstance("south-1-a");
-    const key = { "anvilroute-key": fleet.keys.get("hut") ?? "" };
-    const url = `http://${issuer.caller}/v1/lookup?service=booking&tickets=2`;
-    const lookup = await Undici.request(url, { headers: key });
-    const { tickets } = await lookup.body.json() as { tickets: string[] };
-    const [used = "", unused = ""] = tickets;
-    const send = async (at: Fleet.FleetInstance, ticket: string) => {
-      const res = await Undici.request(
-        `http://${at.caller}/s/booking/bookings`,
-        {
-          method: "POST",
-          body: "one tandem",
-          headers: { ...key, "idempotency-key": ticket },
-        },
-      );
-      return { status: res.statusCode, body: await res.body.text() };
-    };
-    const first = await send(issuer, used);
-    expect(first.status).toBe(200);
-    await stopInstance(issuer.id);
-    expect(await send(other, used)).toEqual(first);
-    expect((await send(other, unused)).status).toBe(200);
-    const executions = await Traffic.countExecutions(fleet);
-    const counts = tickets.map((one) =>
-      executions.get(Traffic.getIdempotencyId(one))
-    );
-    expect(counts).toEqual([1, 1]);
-    await restart(issuer.id);
+    const held = await holdTickets("north-1-b");
+    await stopInstance("north-1-b");
+    await expectAnswered(held);
   });
 
   it("cuts nothing when two instances of a domain stop together and the platform is down", async () => {
     const traffic = startTraffic();
     await Clock.sleep(1_000);
+    const held = await holdTickets("north-1-a", "north-1-b");
     await fleet.platform.setFaults({ availability: "refuse" });
-    await Promise.all(["north-1-a", "north-1-b"].map((id) => stopInstance(id)));
+    const stop = (id: string) => stopInstance(id, LOOKUP_MAX_AGE_MS, false);
+    await Promise.all(["north-1-a", "north-1-b"].map(stop));
     await Clock.sleep(500);
     await fleet.platform.setFaults({ availability: "up" });
     const upAtMs = Date.now();
     await Clock.sleep(KEYS_RECOVERY_MS + 1_000);
-    const calls = await endTraffic(traffic);
+    const calls = await traffic.end();
     // Keys may have been withdrawn unseen until the store is read again.
     const isKeysGap = (one: Traffic.Call) =>
       one.kind === "not-run" && one.codeNumber === 104 &&
       one.startedWallMs < upAtMs + KEYS_RECOVERY_MS;
     await expectNothingCut(calls.filter((one) => !isKeysGap(one)));
-    await Promise.all(["north-1-a", "north-1-b"].map(restart));
+    await expectAnswered(held);
   });
 
   it("cuts only the requests of the killed one when another instance is killed meanwhile", async () => {
     const traffic = startTraffic();
     await Clock.sleep(1_000);
+    const held = await holdTickets("north-1-a");
     const stopping = stopInstance("north-1-a");
     await Clock.sleep(700);
     await getInstance("north-1-b").process.kill();
     await stopping;
     await Clock.sleep(500);
-    const calls = await endTraffic(traffic);
+    const calls = await traffic.end();
     const orders = calls.filter((one) => one.what === "order");
     await expectOrdersOnce(orders);
     const bad = calls.filter((one) => one.kind !== "answered")
       .filter((one) => one.ticket.split(".")[1] !== "north-1-b");
     expect(Traffic.describeBad(bad)).toEqual([]);
-    await Promise.all(["north-1-a", "north-1-b"].map(restart));
+    await expectAnswered(held);
   });
 
   it("cuts nothing when the first heir of its ledger is frozen", async () => {
     const traffic = startTraffic();
     await Clock.sleep(1_000);
+    const held = await holdTickets("north-1-a");
     const stopping = stopInstance("north-1-a");
     await Clock.sleep(2_500);
     getInstance("north-1-b").process.freeze();
     await stopping;
     getInstance("north-1-b").process.resume();
     await Clock.sleep(500);
-    const calls = await endTraffic(traffic);
+    const calls = await traffic.end();
     await expectOrdersOnce(calls.filter((one) => one.what === "order"));
     // The frozen one itself refuses keys as not run until it hears of the store.
     const isOwnRefusal = (one: Traffic.Call) =>
@@ -251,7 +170,7 @@
       one.codeNumber === 104;
     const others = calls.filter((one) => !isOwnRefusal(one));
     expect(Traffic.describeBad(others)).toEqual([]);
-    await restart("north-1-a");
+    await expectAnswered(held);
   });
 
   it("cuts nothing in a rolling restart of all instances", async () => {
@@ -260,10 +179,14 @@
       fleet.instances.filter((one) => one.process.isRunning())
         .map((one) => one.id),
     );
+    const held: Stops.HeldTickets[] = [];
     for (const id of ids) {
+      held.push(...await holdTickets(id));
       await stopInstance(id);
       await restart(id);
     }
-    await expectNothingCut(await endTraffic(traffic));
+    await expectNothingCut(await traffic.end());
+    // The heirs have stopped as well: ledgers are handed on.
+    await expectAnswered(held);
   });
 });
