Weigh recent answers against a suspicion of a poison request

Cause: a popular read in flight on two dying targets was blocked for 5 minutes. It is cleared by the next answer, but a block leaves no request that could be answered.

Change: a break is explained when the same fingerprint was answered at this instance at most 2 s before and the request had left before the first break since that answer. Explained breaks alone do not block; one that is not explained counts together with them. poison.report has isExplained; a peer that does not know it counts the report as before. At most 10,000 answers are remembered.

A request that no target answers is blocked after two targets as before, and so is one that turns harmful after an answer and is sent again after its first break. Only copies that are in flight together when an answered request turns harmful can break more than two targets.

Conclusion: a region's targets that die together no longer block what they had in common, as far as each instance had answered it in the last 2 s.

--- a/src/admission/run.ts
+++ b/src/admission/run.ts
@@ -213,7 +213,7 @@
         refusal: Respond.refuse("noTarget", "not-run"),
       };
     case "broke":
-      return finishBroken(deps, ctx, placement, result, signal);
+      return finishBroken(deps, ctx, placement, result, latencyMs, signal);
     default:
       return Debug.assertNever(result);
   }
@@ -257,6 +257,7 @@
   ctx: Context.Context,
   placement: Place.Placement,
   result: Extract<Exchange.ExchangeResult, { kind: "broke" }>,
+  latencyMs: number,
   signal: AbortSignal,
 ): Attempt {
   const { slot } = placement;
@@ -276,7 +277,8 @@
     };
   }
   slot.release({ kind: "broke" });
-  deps.poison.reportBreak(ctx.fingerprint, slot.target.id);
+  const sentAtMs = deps.clock.nowMs() - latencyMs;
+  deps.poison.reportBreak(ctx.fingerprint, slot.target.id, sentAtMs);
   deps.log.warn("target-broke", {
     requestId: ctx.id,
     target: slot.target.id,
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -330,8 +330,12 @@
 /** Requests that broke targets. */
 export interface Poison {
   isBlocked(fingerprint: string): boolean;
-  /** A target's connection broke while it ran this request. */
-  reportBreak(fingerprint: string, target: Types.TargetId): void;
+  /** A target's connection broke while it ran this request, which left at `sentAtMs` (monotonic; now when not given). */
+  reportBreak(
+    fingerprint: string,
+    target: Types.TargetId,
+    sentAtMs?: number,
+  ): void;
   /** A target answered this request in full, with a status below 500. */
   reportAnswered(fingerprint: string): void;
 }
--- a/src/retry/poison.ts
+++ b/src/retry/poison.ts
@@ -4,9 +4,17 @@
  * reachable instances for 5 minutes. A fingerprint that a target answered is
  * cleared, because popular requests are in flight on every target that fails.
  *
+ * Targets of a region that fail together would block a popular request before
+ * the next answer. A break is therefore explained by an answer of the same
+ * fingerprint in the last seconds when the request had left before the first
+ * break since that answer. Explained breaks alone do not block; one that is not
+ * explained blocks together with them. So a request that no target answers, or
+ * that is sent again after its first break, reaches two targets at most.
+ *
  * What breaks it: an instance that is cut off learns of others' reports only
  * when it asks a peer; a poison request whose body changes each time has a new
- * fingerprint.
+ * fingerprint; one that was answered and then turns harmful while several
+ * copies are in flight breaks the targets of all these copies.
  */
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
@@ -18,6 +26,8 @@
 /** Covers callers that retry every few minutes. */
 const SUSPICION_MS = 10 * 60_000;
 const TARGETS_TO_BLOCK = 2;
+/** How long an answer explains breaks; an older one says little of the request now. */
+const ANSWER_EVIDENCE_MS = 2_000;
 /** About 3 MB when full. */
 const MAX_FINGERPRINTS = 10_000;
 /** More targets say nothing more. */
@@ -41,15 +51,31 @@
 
 interface Suspicion {
   readonly targets: Set<Types.TargetId>;
+  /** First break since the last answer. */
+  readonly firstBreakMs: number;
+  /** False while answers explain every break. */
+  isUnexplained: boolean;
   lastBreakMs: number;
   blockedUntilMs: number;
 }
 
+function createSuspicion(nowMs: number): Suspicion {
+  return {
+    targets: new Set(),
+    firstBreakMs: nowMs,
+    isUnexplained: false,
+    lastBreakMs: nowMs,
+    blockedUntilMs: -Infinity,
+  };
+}
+
 /** Creates an empty list; with `peers` it shares reports and asks the first peer that it hears. */
 export function createPoison(opts: PoisonOptions): ClearablePoison {
   const { clock, peers, log } = opts;
   /** In order of the last report, oldest first. */
   const suspicions = new Map<string, Suspicion>();
+  /** Monotonic ms of the last answer here, oldest first. */
+  const answers = new Map<string, number>();
   let isPulled = false;
 
   function evict(): void {
@@ -66,23 +92,26 @@
     fingerprint: string,
     targets: readonly Types.TargetId[],
     blockMs: number,
+    isExplained: boolean,
   ): boolean {
     const now = clock.nowMs();
     const found = suspicions.get(fingerprint);
     const isOld = found === undefined || now - found.lastBreakMs > SUSPICION_MS;
-    const known: Suspicion = isOld
-      ? { targets: new Set(), lastBreakMs: now, blockedUntilMs: -Infinity }
-      : found;
+    const known: Suspicion = isOld ? createSuspicion(now) : found;
     const before = known.targets.size;
+    const wasUnexplained = known.isUnexplained;
+    if (!isExplained) known.isUnexplained = true;
     for (const target of targets) {
       if (known.targets.size < MAX_TARGETS) known.targets.add(target);
     }
     known.lastBreakMs = now;
     suspicions.delete(fingerprint);
     suspicions.set(fingerprint, known);
-    const isNews = known.targets.size > before;
+    const isNews = known.targets.size > before ||
+      known.isUnexplained !== wasUnexplained;
     evict();
-    if (known.targets.size < TARGETS_TO_BLOCK) return isNews;
+    const isEnough = known.targets.size >= TARGETS_TO_BLOCK;
+    if (!isEnough || !known.isUnexplained) return isNews;
     const wasBlocked = known.blockedUntilMs > now;
     known.blockedUntilMs = Math.max(known.blockedUntilMs, now + blockMs);
     if (wasBlocked || blockMs === 0) return isNews;
@@ -96,6 +125,24 @@
     return known !== undefined && clock.nowMs() < known.blockedUntilMs;
   }
 
+  function noteAnswer(fingerprint: string): void {
+    answers.delete(fingerprint);
+    answers.set(fingerprint, clock.nowMs());
+    if (answers.size <= MAX_FINGERPRINTS) return;
+    for (const oldest of answers.keys()) {
+      answers.delete(oldest);
+      return;
+    }
+  }
+
+  /** The last outcome known when the request left was a recent answer. */
+  function isExplained(fingerprint: string, sentAtMs: number): boolean {
+    const answeredAtMs = answers.get(fingerprint) ?? -Infinity;
+    if (clock.nowMs() - answeredAtMs > ANSWER_EVIDENCE_MS) return false;
+    const known = suspicions.get(fingerprint);
+    return known === undefined || sentAtMs <= known.firstBreakMs;
+  }
+
   function clear(fingerprint: string): boolean {
     const wasBlocked = isBlocked(fingerprint);
     const isKnown = suspicions.delete(fingerprint);
@@ -111,8 +158,9 @@
     const isMesh = (peers?.getMembers().length ?? 0) <= FULL_MESH_PEERS;
     switch (message.kind) {
       case "broke": {
-        const { fingerprint, targets, blockMs } = message;
-        const isNews = add(fingerprint, targets, blockMs ?? BLOCK_MS);
+        const { fingerprint, targets, isExplained } = message;
+        const blockMs = message.blockMs ?? BLOCK_MS;
+        const isNews = add(fingerprint, targets, blockMs, isExplained === true);
         if (isNews && !isMesh) send(message);
         return;
       }
@@ -132,6 +180,7 @@
       fingerprint,
       targets: [...each.targets],
       blockMs: Math.max(0, each.blockedUntilMs - now),
+      isExplained: !each.isUnexplained,
     }));
   }
 
@@ -166,13 +215,21 @@
 
   return {
     isBlocked,
-    reportBreak(fingerprint, target) {
-      const isNews = add(fingerprint, [target], BLOCK_MS);
+    reportBreak(fingerprint, target, sentAtMs = clock.nowMs()) {
+      const explained = isExplained(fingerprint, sentAtMs);
+      const isNews = add(fingerprint, [target], BLOCK_MS, explained);
       if (!isNews) return;
-      const targets = [...suspicions.get(fingerprint)?.targets ?? [target]];
-      send({ kind: "broke", fingerprint, targets, blockMs: BLOCK_MS });
+      const known = suspicions.get(fingerprint);
+      send({
+        kind: "broke",
+        fingerprint,
+        targets: [...known?.targets ?? [target]],
+        blockMs: BLOCK_MS,
+        isExplained: known?.isUnexplained !== true,
+      });
     },
     reportAnswered(fingerprint) {
+      noteAnswer(fingerprint);
       if (clear(fingerprint)) send({ kind: "answered", fingerprint });
     },
     getSize: () => suspicions.size,
--- a/src/retry/poison_reports.ts
+++ b/src/retry/poison_reports.ts
@@ -13,6 +13,8 @@
   readonly targets: readonly Types.TargetId[];
   /** Time for which the receiver blocks in ms, when two targets are known. */
   readonly blockMs?: number;
+  /** True when recent answers explain every break; such reports alone do not block. */
+  readonly isExplained?: boolean;
 }
 
 /** A report, its withdrawal, or the request for all reports. */
@@ -35,7 +37,13 @@
   if (!isValid) return undefined;
   const asked = typeof blockMs === "number" ? blockMs : MAX_BLOCK_MS;
   const bounded = Math.min(Math.max(0, asked), MAX_BLOCK_MS);
-  return { kind: "broke", fingerprint, targets, blockMs: bounded };
+  return {
+    kind: "broke",
+    fingerprint,
+    targets,
+    blockMs: bounded,
+    isExplained: value["isExplained"] === true,
+  };
 }
 
 /** Checks a message; undefined when it is malformed. */
--- a/tests/poison_test.ts
+++ b/tests/poison_test.ts
@@ -104,6 +104,30 @@
     expect(b?.isBlocked("popular")).toBe(false);
   });
 
+  it("are not popular reads in flight on several targets that die together, seen by any instances", () => {
+    const { instances: [a, b], pass } = createFleet(2);
+    for (const each of [a, b]) each?.reportAnswered("popular");
+    pass(1_900);
+    a?.reportBreak("popular", "t1", 2_850);
+    pass(10);
+    a?.reportBreak("popular", "t2", 2_899);
+    b?.reportBreak("popular", "t3", 2_890);
+    expect(a?.isBlocked("popular")).toBe(false);
+    expect(b?.isBlocked("popular")).toBe(false);
+  });
+
+  it("reach no third target when they turn harmful after an answer, which explains no break of a resend", () => {
+    for (const [ageMs, sentAfterMs] of [[100, 1], [2_001, -1]] as const) {
+      const { instances: [a, b], pass } = createFleet(2);
+      a?.reportAnswered("bad");
+      pass(ageMs);
+      a?.reportBreak("bad", "t1", 1_000 + ageMs - 50);
+      a?.reportBreak("bad", "t2", 1_000 + ageMs + sentAfterMs);
+      expect(a?.isBlocked("bad"), `answer ${ageMs} ms old`).toBe(true);
+      expect(b?.isBlocked("bad")).toBe(true);
+    }
+  });
+
   it("are counted over all instances and blocked at all of them", () => {
     const fleet = createFleet(3);
     fleet.instances[0]?.reportBreak("bad", "t1");
