--- a/testing/fleet/fleet.ts
+++ b/testing/fleet/fleet.ts
@@ -3,12 +3,12 @@
  * instances, with a table and one key per account in the store.
  */
 import * as Crypto from "node:crypto";
+import * as Json from "../../src/json.ts";
 import * as PlatformClient from "../../src/platform/client.ts";
 import type * as Types from "../../src/types.ts";
 import * as Control from "../harness/control.ts";
 import * as Platform from "../harness/platform.ts";
 import * as Process from "../harness/process.ts";
-import * as HttpJson from "../http_json.ts";
 import * as Settings from "../harness/settings.ts";
 import * as Wait from "../harness/wait.ts";
 import type * as Records from "../target/records.ts";
@@ -132,7 +132,7 @@
 
 /** A record that a target printed; undefined for another line and for one that the kill cut. */
 function tryReadRecord(line: string): Records.ExecutionRecord | undefined {
-  const fields = HttpJson.tryParseObject(line);
+  const fields = Json.tryParseObject(line);
   return fields?.["record"] as Records.ExecutionRecord | undefined;
 }
 
