--- a/src/peer/heartbeat.ts
+++ b/src/peer/heartbeat.ts
@@ -44,10 +44,14 @@
   return ageMs < MAX_AGE_MS ? Math.max(0, Math.ceil(ageMs)) : MAX_AGE_MS;
 }
 
-/** Checks the shape of a whole heartbeat, for example from `members.list`. */
+/**
+ * Checks the shape of a whole heartbeat, for example from `members.list`. Flags
+ * that an older version does not send are false, so that instances of both
+ * versions hear each other during a rolling restart.
+ */
 export function tryReadHeartbeat(raw: unknown): Types.Heartbeat | undefined {
   if (!Json.isObject(raw)) return undefined;
-  const { shards, state } = raw;
+  const { isStoreFailing = false, isTableSettled = false, shards, state } = raw;
   const texts = [raw.id, raw.incarnation, raw.domain, raw.region];
   const addresses = [raw.callerAddress, raw.peerAddress];
   const numbers = [
@@ -59,10 +63,15 @@
   ];
   const isGood = [...texts, ...addresses].every(isText) &&
     numbers.every(isCount) && STATES.includes(state) &&
-    [raw.isStoreFailing, raw.isTableSettled].every(isBoolean) &&
+    [isStoreFailing, isTableSettled].every(isBoolean) &&
     Array.isArray(shards) && shards.every(isCount);
   // Every field was checked above.
-  return isGood ? raw as unknown as Types.Heartbeat : undefined;
+  if (!isGood) return undefined;
+  return {
+    ...raw,
+    isStoreFailing,
+    isTableSettled,
+  } as unknown as Types.Heartbeat;
 }
 
 function isText(value: unknown): boolean {
--- a/tests/peer_wire_test.ts
+++ b/tests/peer_wire_test.ts
@@ -66,6 +66,15 @@
 });
 
 describe("heartbeats on the wire", () => {
+  it("guards against versions that do not hear each other in a rolling restart", () => {
+    const { isStoreFailing: _, isTableSettled: __, ...older } = Helpers
+      .createHeartbeat("b", "d");
+    expect(Heartbeat.tryReadHeartbeat(older))
+      .toEqual({ ...older, isStoreFailing: false, isTableSettled: false });
+    const wrong = { ...older, isTableSettled: "yes" };
+    expect(Heartbeat.tryReadHeartbeat(wrong)).toBeUndefined();
+  });
+
   it("date a heartbeat by the sender's clock even when it is read late", () => {
     const remote = { id: "b", incarnation: "b-run1" };
     const mine = Heartbeat.createCodec(0, remote);
