--- a/src/admission/account.ts
+++ b/src/admission/account.ts
@@ -11,8 +11,8 @@
 import * as Relay from "../once/relay.ts";
 import * as ResultCodes from "../result_codes.ts";
 import * as Columns from "../table/columns.ts";
+import type * as Attempt from "./attempt.ts";
 import * as Context from "./context.ts";
-import type * as Run from "./run.ts";
 
 const KEY_HEADER = "anvilroute-key";
 const BEARER = /^Bearer\s+(\S+)$/i;
@@ -165,7 +165,7 @@
 export function refundIfNotRun(
   deps: Context.Deps,
   ctx: Context.Context,
-  result: Run.RunResult,
+  result: Attempt.RunResult,
 ): void {
   const key = getBudgetKey(ctx);
   const { takenAtMs } = ctx.payment;
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -12,6 +12,7 @@
 import * as Path from "../forward/path.ts";
 import * as Respond from "../forward/respond.ts";
 import type * as Types from "../types.ts";
+import type * as Attempt from "./attempt.ts";
 import * as Account from "./account.ts";
 import * as Context from "./context.ts";
 import * as Once from "./once.ts";
@@ -174,7 +175,7 @@
 async function servePlain(
   deps: Context.Deps,
   ctx: Context.Context,
-): Promise<Run.RunResult> {
+): Promise<Attempt.RunResult> {
   const unpaid = await Account.pay(deps, ctx);
   if (unpaid !== undefined) {
     return finish(ctx, { kind: "refused", refusal: unpaid });
@@ -185,7 +186,10 @@
   return finish(ctx, result);
 }
 
-function finish(ctx: Context.Context, result: Run.RunResult): Run.RunResult {
+function finish(
+  ctx: Context.Context,
+  result: Attempt.RunResult,
+): Attempt.RunResult {
   switch (result.kind) {
     case "answer":
       Respond.sendAnswer(ctx.res, result.answer, ctx.id, false);
@@ -209,7 +213,7 @@
 function record(
   deps: Context.Deps,
   ctx: Context.Context,
-  result: Run.RunResult,
+  result: Attempt.RunResult,
 ): void {
   const refusal = result.kind === "refused" ? result.refusal : undefined;
   // The instance that the caller talks to counts a relayed request.
@@ -229,7 +233,7 @@
 function recordMetrics(
   deps: Context.Deps,
   ctx: Context.Context,
-  result: Run.RunResult,
+  result: Attempt.RunResult,
   refusal: Respond.Refusal | undefined,
 ): void {
   const isCallerGone = ctx.signal.aborted &&
@@ -244,7 +248,7 @@
   });
 }
 
-function getStatus(result: Run.RunResult): number {
+function getStatus(result: Attempt.RunResult): number {
   switch (result.kind) {
     case "answer":
       return result.answer.status;
--- a/src/admission/once.ts
+++ b/src/admission/once.ts
@@ -7,10 +7,10 @@
 import { setTimeout as delay } from "node:timers/promises";
 import * as Headers from "../forward/headers.ts";
 import type * as Types from "../types.ts";
+import type * as Attempt from "./attempt.ts";
 import type * as Context from "./context.ts";
 import * as OnceRelay from "./once_relay.ts";
 import * as OnceRun from "./once_run.ts";
-import type * as Run from "./run.ts";
 import * as Shared from "./once_shared.ts";
 
 const HAND_OVER_POLL_MS = 20;
@@ -33,7 +33,7 @@
 export async function serveOnce(
   deps: Context.Deps,
   ctx: Context.Context,
-): Promise<Run.RunResult> {
+): Promise<Attempt.RunResult> {
   const text = Headers.tryGetHeader(ctx.headers, Shared.TICKET_HEADER);
   if (text === undefined) return Shared.refuse(ctx, "ticketMissing", "not-run");
   const verified = deps.tickets.verify(
--- a/src/admission/once_relay.ts
+++ b/src/admission/once_relay.ts
@@ -8,8 +8,8 @@
 import type * as Headers from "../forward/headers.ts";
 import * as Respond from "../forward/respond.ts";
 import * as Relay from "../once/relay.ts";
+import type * as Attempt from "./attempt.ts";
 import * as Context from "./context.ts";
-import type * as Run from "./run.ts";
 import * as Shared from "./once_shared.ts";
 
 const RELAY_ATTEMPTS = 2;
@@ -39,7 +39,7 @@
   deps: Context.Deps,
   ctx: Context.Context,
   ticket: Shared.VerifiedTicket,
-): Promise<Run.RunResult> {
+): Promise<Attempt.RunResult> {
   if (ctx.body.kind === "stream") {
     return Shared.refuse(ctx, "bodyTooLarge", "not-run");
   }
@@ -58,7 +58,7 @@
   deps: Context.Deps,
   ctx: Context.Context,
   address: string,
-): Promise<Run.RunResult | undefined> {
+): Promise<Attempt.RunResult | undefined> {
   const path = ctx.req.url ?? "";
   const { account, digest = "" } = ctx.caller;
   const claim = deps.relay.sign({ account, digest }, ctx.method, path);
@@ -86,7 +86,7 @@
 function finishPassOn(
   ctx: Context.Context,
   result: Awaited<ReturnType<Context.Deps["exchanger"]["exchange"]>>,
-): Run.RunResult | undefined {
+): Attempt.RunResult | undefined {
   switch (result.kind) {
     case "answer":
       return finishRelayed(ctx, result.answer, result.rawHeaders);
@@ -115,7 +115,7 @@
   ctx: Context.Context,
   answer: Contracts.StoredAnswer,
   rawHeaders: Headers.HeaderPairs,
-): Run.RunResult {
+): Attempt.RunResult {
   const own = rawHeaders
     .filter(([name]) => OWN_ANSWER_HEADERS.has(name.toLowerCase()));
   const relayed = { ...answer, headers: [...answer.headers, ...own] };
--- a/src/admission/once_run.ts
+++ b/src/admission/once_run.ts
@@ -8,6 +8,7 @@
 import * as Debug from "../debug.ts";
 import type * as Headers from "../forward/headers.ts";
 import * as Respond from "../forward/respond.ts";
+import type * as Attempt from "./attempt.ts";
 import * as Account from "./account.ts";
 import * as Context from "./context.ts";
 import * as Run from "./run.ts";
@@ -21,7 +22,7 @@
   deps: Context.Deps,
   ctx: Context.Context,
   ticket: Shared.VerifiedTicket,
-): Promise<Run.RunResult> {
+): Promise<Attempt.RunResult> {
   // A body beyond the buffer is known by its first part only, so two of them could pass for one.
   if (ctx.body.kind === "stream") {
     return Shared.refuse(ctx, "bodyTooLarge", "not-run");
@@ -68,7 +69,7 @@
   ctx: Context.Context,
   ticket: Shared.VerifiedTicket,
   claimed: Contracts.ClaimedRun,
-): Promise<Run.RunResult> {
+): Promise<Attempt.RunResult> {
   const lateMs = Context.getRemainingMs(ctx, deps.clock) + LATE_ANSWER_GRACE_MS;
   const running = runToEnd(
     deps,
@@ -112,7 +113,7 @@
   ctx: Context.Context,
   claimed: Contracts.ClaimedRun,
   signal: AbortSignal,
-): Promise<Run.RunResult> {
+): Promise<Attempt.RunResult> {
   try {
     const result = await payAndRun(deps, ctx, signal);
     settleClaim(claimed, result);
@@ -127,7 +128,7 @@
   deps: Context.Deps,
   ctx: Context.Context,
   signal: AbortSignal,
-): Promise<Run.RunResult> {
+): Promise<Attempt.RunResult> {
   const unpaid = await Account.pay(deps, ctx);
   if (unpaid !== undefined) return { kind: "refused", refusal: unpaid };
   const parts: Buffer[] = [];
@@ -154,7 +155,7 @@
 
 function settleClaim(
   claimed: Contracts.ClaimedRun,
-  result: Run.RunResult,
+  result: Attempt.RunResult,
 ): void {
   switch (result.kind) {
     case "answer":
--- a/src/admission/once_shared.ts
+++ b/src/admission/once_shared.ts
@@ -1,8 +1,8 @@
 /** What the steps of a request on a `once` route share. */
 import type * as Contracts from "../contracts.ts";
 import * as Respond from "../forward/respond.ts";
+import type * as Attempt from "./attempt.ts";
 import type * as Context from "./context.ts";
-import type * as Run from "./run.ts";
 
 /** Header in which the caller sends its ticket. */
 export const TICKET_HEADER = "idempotency-key";
@@ -14,7 +14,7 @@
 export function refuse(
   ctx: Context.Context,
   ...args: Parameters<typeof Respond.refuse>
-): Run.RunResult {
+): Attempt.RunResult {
   return finishRefused(ctx, Respond.refuse(...args));
 }
 
@@ -22,7 +22,7 @@
 export function finishRefused(
   ctx: Context.Context,
   refusal: Respond.Refusal,
-): Run.RunResult {
+): Attempt.RunResult {
   Respond.sendRefusal(ctx.res, refusal, ctx.id);
   return { kind: "refused", refusal };
 }
