Refuse a target list without an age, which emptied the lists of peers

An instance without a list answered targets.list with an infinite age, which JSON sends as null, and null passed the age check as 0: a peer that asked it took the empty list as the newest one and passed it on. Any instance that starts in an outage of the platform could empty its peers' directories. Ruled out: the table (the newest revision was in force), budgets (valid), connections. Change: an instance without a list says so by leaving the age out, and a reader checks the shape and the age.

--- a/src/daemon/directory.ts
+++ b/src/daemon/directory.ts
@@ -5,6 +5,7 @@
 import * as Crypto from "node:crypto";
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
+import * as Json from "../json.ts";
 import * as Rendezvous from "../rendezvous.ts";
 import type * as Supervisor from "../supervisor.ts";
 import type * as Types from "../types.ts";
@@ -17,12 +18,30 @@
 const PEERS_ASKED = 3;
 
 interface PeerList {
-  readonly ageMs: number;
+  /** Left out by a peer that has no list yet. */
+  readonly ageMs?: number;
   readonly digest: string;
   /** Left out when the asking peer has the same list. */
   readonly instances?: readonly Types.PlatformInstance[];
 }
 
+/**
+ * Reads a peer's answer. A list without an age must not pass for a new one: an
+ * instance that has just started would empty the directories of its peers.
+ */
+function tryReadPeerList(
+  value: unknown,
+): (PeerList & { readonly ageMs: number }) | undefined {
+  if (!Json.isObject(value)) return undefined;
+  const { ageMs, instances } = value;
+  const isGood = typeof ageMs === "number" && ageMs >= 0 &&
+    ageMs <= MAX_LIST_AGE_MS &&
+    (instances === undefined || Array.isArray(instances));
+  return isGood
+    ? value as unknown as PeerList & { readonly ageMs: number }
+    : undefined;
+}
+
 /** What the directory needs. */
 export interface DirectoryOptions {
   readonly domain: Types.Domain;
@@ -87,14 +106,15 @@
 
   async function tryReadPeer(id: Types.InstanceId): Promise<boolean> {
     const askedAtMs = clock.nowMs();
-    const reply = await peers.call<PeerList>(
+    const reply = await peers.call<unknown>(
       id,
       "targets.list",
       { digest },
       PEER_TIMEOUT_MS,
     );
-    if (reply.isErr() || reply.value.ageMs > MAX_LIST_AGE_MS) return false;
-    take(reply.value.instances ?? list, askedAtMs - reply.value.ageMs);
+    const found = reply.isOk() ? tryReadPeerList(reply.value) : undefined;
+    if (found === undefined) return false;
+    take(found.instances ?? list, askedAtMs - found.ageMs);
     return true;
   }
 
@@ -110,6 +130,8 @@
   }
 
   peers.handle("targets.list", (params): PeerList => {
+    // JSON has no infinite age; it would arrive as null.
+    if (listAtMs === -Infinity) return { digest };
     const ageMs = clock.nowMs() - listAtMs;
     const isSame = (params as { digest?: unknown } | null)?.digest === digest;
     return isSame ? { ageMs, digest } : { ageMs, digest, instances: list };
