Serve routes by host and prefix on the platform: adapter, gateway, thin path

Cause: nothing of the product ran on the platform. Ruled out: node's http agent, which mixes late bytes into the next exchange.

--- /dev/null
+++ b/src/gateway/forwarder.ts
@@ -0,0 +1,449 @@
+/**
+ * The path of a request: route, key, limit, place, send, answer. A request that
+ * may run once only is sent a second time only after a target said that it did
+ * not run it; "not run" is said only when that holds for every send.
+ */
+import * as Crypto from "node:crypto";
+import type * as Http from "node:http";
+import type * as Clock from "../clock.ts";
+import type * as ProductContracts from "../contracts.ts";
+import type * as Types from "../types.ts";
+import type * as Attempt from "./attempt.ts";
+import * as Body from "./body.ts";
+import * as Candidates from "./candidates.ts";
+import * as Choice from "./choice.ts";
+import type * as ColdStart from "./cold_start.ts";
+import * as Placement from "./placement.ts";
+import type * as Quota from "./quota.ts";
+import * as Reply from "./reply.ts";
+import type * as RequestLog from "./request_log.ts";
+import * as Routes from "./routes.ts";
+import type * as Split from "./split.ts";
+import type * as StateModule from "./state.ts";
+import type * as TargetLoad from "./target_load.ts";
+import type * as Timings from "./timings.ts";
+import type * as GatewayTypes from "./types.ts";
+
+/** Time that the answer needs from here to the caller. */
+const WAY_BACK_MS = 15;
+/** Callers that name no deadline are given the route's time-out. */
+const MIN_SEND_MS = 20;
+/** Connections that could not be made cost no target anything; still, time runs. */
+const MAX_UNREACHABLE = 4;
+const SHED_RETRY_MS = 250;
+
+/** What the request path needs. */
+export interface ForwarderDeps {
+  readonly state: StateModule.State;
+  readonly dialect: GatewayTypes.HeaderDialect;
+  readonly attempts: Attempt.Attempts;
+  readonly placement: Placement.Placement;
+  readonly loads: TargetLoad.TargetLoads;
+  readonly coldStarts: ColdStart.ColdStarts;
+  readonly timings: Timings.Timings;
+  readonly quota: Quota.Quota;
+  readonly splits: Split.Splits;
+  readonly retries: ProductContracts.RetryBudget;
+  readonly poison: ProductContracts.Poison;
+  readonly metrics: ProductContracts.Metrics;
+  readonly log: RequestLog.RequestLog;
+  readonly clock: Clock.Clock;
+  /** Requests a second that a cold target of the service may get, from all instances. */
+  readonly getColdRate: (service: Types.Service) => number;
+}
+
+/** A request on its way. */
+interface Flight {
+  readonly req: Http.IncomingMessage;
+  readonly res: Http.ServerResponse;
+  readonly fields: GatewayTypes.CallerFields;
+  readonly route: GatewayTypes.Route;
+  readonly account: GatewayTypes.AccountSpec | undefined;
+  readonly version: number;
+  readonly startedAtMs: number;
+  /** Monotonic ms at which the answer must leave. */
+  readonly endsAtMs: number;
+  readonly body: Buffer | undefined;
+  readonly service: Types.Service;
+  readonly objectKey: string;
+  readonly fingerprint: string;
+  readonly signal: AbortSignal;
+  readonly tried: Set<Types.TargetId>;
+  /** A target may have run it. */
+  mayHaveRun: boolean;
+  sends: number;
+}
+
+/** Handles callers' requests. */
+export type Handler = (
+  req: Http.IncomingMessage,
+  res: Http.ServerResponse,
+) => Promise<void>;
+
+/** Creates the request path. */
+export function createForwarder(deps: ForwarderDeps): Handler {
+  const { clock, state } = deps;
+
+  function finish(
+    flight: {
+      readonly res: Http.ServerResponse;
+      readonly fields: GatewayTypes.CallerFields;
+      readonly startedAtMs: number;
+    },
+    refusal: Reply.Refusal,
+    more: Readonly<Record<string, string | number | undefined>>,
+  ): void {
+    Reply.sendRefusal(flight.res, refusal);
+    deps.log.write("refused", {
+      id: flight.fields.requestId,
+      code: refusal.code,
+      status: refusal.status,
+      outcome: refusal.outcome,
+      retryAfterMs: refusal.retryAfterMs === undefined
+        ? undefined
+        : Math.round(refusal.retryAfterMs),
+      ms: Math.round(clock.nowMs() - flight.startedAtMs),
+      ...more,
+    });
+    deps.metrics.count(`refused.${refusal.code}`);
+  }
+
+  function getPlaces(flight: Flight): readonly Choice.Place[] {
+    const { route } = flight;
+    const allowed = Candidates.getAllowed(
+      state,
+      flight.service,
+      route,
+      flight.account,
+    );
+    const ranked = deps.placement.rank(
+      allowed.scope,
+      flight.objectKey,
+      state.getMembershipEpoch(),
+      allowed.targets,
+    );
+    const now = clock.nowMs();
+    const coldRate = deps.getColdRate(flight.service);
+    const places: Choice.Place[] = [];
+    ranked.forEach((target, rank) => {
+      const { id } = target.entry;
+      if (flight.tried.has(id)) return;
+      const isCold = target.coldUntilMs > now;
+      places.push({
+        target,
+        rank,
+        isPaused: deps.loads.isPaused(id),
+        isColdFull: isCold && !deps.coldStarts.mayStart(id, coldRate),
+        busy: deps.loads.getBusy(id),
+        shedShare: deps.loads.getShedShare(id),
+        roundTripMs: deps.timings.getRoundTripMs(target.region),
+        serviceMs: deps.timings.getServiceMs(
+          route.name,
+          rank === 0,
+          route.targetLatencyMs / 3,
+        ),
+      });
+    });
+    return places;
+  }
+
+  function sendAnswer(
+    flight: Flight,
+    place: Choice.Place,
+    result: Attempt.AttemptResult & { kind: "answer" },
+  ): void {
+    const { answer } = result;
+    const { res } = flight;
+    const ms = clock.nowMs() - flight.startedAtMs;
+    if (!res.headersSent && !res.destroyed) {
+      const headers = deps.dialect.formatForCaller(answer.headers);
+      headers.push("content-length", String(answer.body.length));
+      res.writeHead(answer.status, headers);
+      res.end(answer.body);
+    }
+    deps.log.write("answered", {
+      id: flight.fields.requestId,
+      route: flight.route.name,
+      account: flight.account?.name,
+      object: flight.fields.objectKey,
+      config: flight.version,
+      target: place.target.entry.id,
+      rank: place.rank,
+      busy: place.busy,
+      sends: flight.sends,
+      status: answer.status,
+      ms: Math.round(ms),
+    });
+    deps.metrics.record({
+      service: flight.service,
+      account: flight.account?.name ?? "public",
+      status: answer.status,
+      codeNumber: 0,
+      outcome: "answered",
+      latencyMs: ms,
+    });
+  }
+
+  /** Sends to one place and settles the accounts of its target. */
+  async function send(
+    flight: Flight,
+    place: Choice.Place,
+  ): Promise<Attempt.AttemptResult> {
+    const { target } = place;
+    const { id } = target.entry;
+    const sentAtMs = clock.nowMs();
+    const leftMs = flight.endsAtMs - sentAtMs - place.roundTripMs / 2;
+    flight.tried.add(id);
+    deps.loads.start(id);
+    if (target.coldUntilMs > sentAtMs) deps.coldStarts.noteStart(id);
+    const result = await deps.attempts.make({
+      address: target.entry.address,
+      region: target.region,
+      request: {
+        method: flight.req.method ?? "GET",
+        path: flight.req.url ?? "/",
+        headers: deps.dialect.formatForTarget(flight.req.rawHeaders, {
+          targetId: id,
+          account: flight.account?.name,
+          deadlineMs: Math.max(1, Math.floor(leftMs)),
+        }),
+        body: flight.body,
+      },
+      requestId: flight.fields.requestId,
+      isRepeatable: flight.route.isRepeatable,
+      roundTripMs: place.roundTripMs,
+      signal: flight.signal,
+    });
+    settle(flight, place, sentAtMs, result);
+    return result;
+  }
+
+  function settle(
+    flight: Flight,
+    place: Choice.Place,
+    sentAtMs: number,
+    result: Attempt.AttemptResult,
+  ): void {
+    const { id } = place.target.entry;
+    switch (result.kind) {
+      case "answer": {
+        const ms = clock.nowMs() - sentAtMs - place.roundTripMs;
+        const isFailure = result.answer.status >= 500;
+        deps.loads.end(id, "answered");
+        if (result.fields.load !== undefined) {
+          deps.loads.noteReport(id, result.fields.load);
+        }
+        if (!isFailure) {
+          deps.timings.noteAnswer(flight.route.name, place.rank === 0, ms);
+          deps.poison.reportAnswered(flight.fingerprint);
+        }
+        return;
+      }
+      case "not-run":
+        deps.loads.end(id, result.isOtherTarget ? "unreachable" : "shed");
+        if (result.fields.load !== undefined) {
+          deps.loads.noteReport(id, result.fields.load);
+        }
+        return;
+      case "unreachable":
+        return deps.loads.end(id, "unreachable");
+      case "broke":
+        flight.mayHaveRun = true;
+        deps.loads.end(id, "broke");
+        if (result.wasReset) {
+          deps.poison.reportBreak(flight.fingerprint, id, sentAtMs);
+        }
+        return;
+      case "aborted": {
+        if (result.isSent) flight.mayHaveRun = true;
+        const isLate = clock.nowMs() >= flight.endsAtMs - 1;
+        return deps.loads.end(id, isLate ? "broke" : "cancelled");
+      }
+    }
+  }
+
+  /** True when the request may be sent to another target after this result. */
+  function maySendAgain(
+    flight: Flight,
+    result: Attempt.AttemptResult,
+  ): boolean {
+    const { maxTargets, isRepeatable } = flight.route;
+    if (result.kind === "unreachable") {
+      return flight.tried.size <= MAX_UNREACHABLE;
+    }
+    if (flight.sends >= maxTargets) return false;
+    const isSafe = result.kind === "not-run" ||
+      (result.kind === "broke" && isRepeatable);
+    return isSafe && deps.retries.tryRetry(flight.service);
+  }
+
+  function end(
+    flight: Flight,
+    refusal: Reply.Refusal,
+    reason: string,
+    target?: Types.TargetId,
+  ): void {
+    // A refusal must not promise what a send may have broken.
+    const isPromise = refusal.status === 503 || refusal.status === 429;
+    const truthful = isPromise && flight.mayHaveRun
+      ? Reply.refuse("targetBroke", "unknown")
+      : refusal;
+    if (flight.account !== undefined && !flight.mayHaveRun) {
+      deps.quota.giveBack(flight.account.name);
+    }
+    finish(flight, truthful, {
+      route: flight.route.name,
+      account: flight.account?.name,
+      object: flight.fields.objectKey,
+      config: flight.version,
+      target,
+      sends: flight.sends,
+      reason,
+    });
+  }
+
+  async function run(flight: Flight): Promise<void> {
+    for (;;) {
+      const now = clock.nowMs();
+      const left: Choice.TimeLeft = {
+        inTimeMs: flight.startedAtMs + flight.route.targetLatencyMs - now,
+        deadlineMs: flight.endsAtMs - now - MIN_SEND_MS,
+      };
+      const choice = Choice.choose(getPlaces(flight), left);
+      if (choice.kind === "refuse") {
+        const code = choice.reason === "full" ? "queueFull" : "noTarget";
+        const refusal = Reply.refuse(code, "not-run", choice.retryAfterMs);
+        return end(flight, refusal, choice.reason);
+      }
+      const { place } = choice;
+      const { id } = place.target.entry;
+      const result = await send(flight, place);
+      if (result.kind !== "unreachable") flight.sends++;
+      if (result.kind === "aborted") return endAborted(flight, id);
+      if (result.kind === "answer") {
+        const mayRepeat = result.answer.status >= 500 &&
+          flight.route.isRepeatable && flight.sends < flight.route.maxTargets &&
+          deps.retries.tryRetry(flight.service);
+        if (!mayRepeat) return sendAnswer(flight, place, result);
+        // A target's own failure counts as run.
+        flight.mayHaveRun = true;
+        continue;
+      }
+      if (maySendAgain(flight, result)) continue;
+      if (result.kind === "broke") {
+        const refusal = Reply.refuse("targetBroke", "unknown");
+        return end(flight, refusal, result.reason, id);
+      }
+      const refusal = Reply.refuse("shedByTarget", "not-run", SHED_RETRY_MS);
+      return end(flight, refusal, result.kind, id);
+    }
+  }
+
+  function endAborted(flight: Flight, id: Types.TargetId): void {
+    if (flight.res.destroyed) {
+      deps.log.write("caller-left", {
+        id: flight.fields.requestId,
+        target: id,
+        ms: Math.round(clock.nowMs() - flight.startedAtMs),
+      });
+      return;
+    }
+    const refusal = flight.mayHaveRun
+      ? Reply.refuse("deadlinePassed", "unknown")
+      : Reply.refuse("queueFull", "not-run");
+    end(flight, refusal, "time is over", id);
+  }
+
+  function makeFingerprint(
+    req: Http.IncomingMessage,
+    account: GatewayTypes.AccountSpec | undefined,
+    fields: GatewayTypes.CallerFields,
+    body: Buffer | undefined,
+  ): string {
+    const head =
+      `${account?.name} ${req.method} ${req.url} ${fields.objectKey}`;
+    if (body === undefined) return head;
+    const digest = Crypto.createHash("sha1").update(body).digest("base64");
+    return `${head} ${digest}`;
+  }
+
+  return async (req, res) => {
+    const startedAtMs = clock.nowMs();
+    const fields = deps.dialect.readCaller(req.headers);
+    const known = { res, fields, startedAtMs };
+    const config = state.getConfig();
+    if (config === undefined) {
+      const refusal = Reply.refuse("configUnknown", "not-run", 300);
+      return finish(known, refusal, {});
+    }
+    const route = Routes.tryFindRoute(config, req.headers.host, req.url ?? "/");
+    const more = { config: config.version };
+    if (route === undefined) {
+      const refusal = Reply.refuse("noSuchRoute", "not-run");
+      return finish(known, refusal, { ...more, path: req.url });
+    }
+    const account = fields.key === undefined
+      ? undefined
+      : config.keys.get(fields.key);
+    if (account === undefined && !route.isOpen) {
+      const code = fields.key === undefined ? "keyMissing" : "keyUnknown";
+      const refusal = Reply.refuse(code, "not-run");
+      return finish(known, refusal, { ...more, route: route.name });
+    }
+    const read = await Body.readBody(req, config.limits.maxBodyBytes);
+    if (read.kind === "broken") return;
+    if (read.kind === "too-large") {
+      const refusal = Reply.refuse("bodyTooLarge", "not-run");
+      return finish(known, refusal, { ...more, route: route.name });
+    }
+    const fingerprint = makeFingerprint(req, account, fields, read.data);
+    if (deps.poison.isBlocked(fingerprint)) {
+      const refusal = { ...Reply.refuse("poisoned", "not-run"), status: 503 };
+      return finish(known, refusal, { ...more, route: route.name });
+    }
+    if (account !== undefined) {
+      const taken = deps.quota.take(account);
+      if (taken !== "taken") {
+        const refusal = Reply.refuse(
+          "accountLimit",
+          "not-run",
+          taken.retryAfterMs,
+        );
+        const name = account.name;
+        return finish(known, refusal, { ...more, account: name });
+      }
+    }
+    const service = deps.splits.choose(route);
+    deps.retries.countRequest(service);
+    const waitMs = Math.min(
+      route.timeoutMs,
+      (fields.deadlineMs ?? Infinity) - WAY_BACK_MS,
+    );
+    const abort = new AbortController();
+    const timer = setTimeout(
+      () => abort.abort(),
+      startedAtMs + waitMs - clock.nowMs(),
+    );
+    res.once("close", () => abort.abort());
+    await run({
+      req,
+      res,
+      fields,
+      route,
+      account,
+      version: config.version,
+      startedAtMs,
+      endsAtMs: startedAtMs + waitMs,
+      body: read.data,
+      service,
+      objectKey: fields.objectKey ??
+        Placement.makeSpreadKey(fields.requestId ?? ""),
+      fingerprint,
+      signal: abort.signal,
+      tried: new Set(),
+      mayHaveRun: false,
+      sends: 0,
+    });
+    clearTimeout(timer);
+  };
+}
--- a/src/result_codes.ts
+++ b/src/result_codes.ts
@@ -210,6 +210,20 @@
     "The body is larger than allowed",
     "Send a smaller body",
   ),
+  configUnknown: code(
+    133,
+    "config-unknown",
+    503,
+    "This instance has not learnt the configuration yet",
+    "Use another instance; operators: check the platform",
+  ),
+  noSuchRoute: code(
+    134,
+    "no-such-route",
+    404,
+    "The configuration has no route for this host and path",
+    "Check host and path",
+  ),
   retryBudget: code(
     132,
     "retry-budget",
--- a/src/retry/retry_budget.ts
+++ b/src/retry/retry_budget.ts
@@ -1,7 +1,9 @@
 /**
  * Retry budget per service. Promise: the retries of the last 10 s are at most 10%
  * of the requests of the last 10 s, or a small fixed number where that is more,
- * so that retries can't multiply the load of a service that is failing.
+ * so that retries can't multiply the load of a service that is failing. A
+ * platform that states a limit for the whole fleet replaces both figures: each
+ * instance keeps to that share of its own requests and to its part of the rest.
  */
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
@@ -20,10 +22,26 @@
   retries: number;
 }
 
+/** A limit over all instances together, as this instance has to keep it. */
+export interface FleetLimit {
+  /** Retries as a share of this instance's requests. */
+  readonly share: number;
+  /** Retries in a window beyond that share; this instance's part of the fleet's. */
+  readonly getExtra: () => number;
+}
+
 /** Creates a budget without history. */
 export function createRetryBudget(
-  opts: { readonly clock: Clock.Clock },
+  opts: { readonly clock: Clock.Clock; readonly fleetLimit?: FleetLimit },
 ): Contracts.RetryBudget {
+  function getAllowed(requests: number): number {
+    const { fleetLimit } = opts;
+    if (fleetLimit === undefined) {
+      return Math.max(requests * RETRY_SHARE, MIN_RETRIES_PER_WINDOW);
+    }
+    return requests * fleetLimit.share + fleetLimit.getExtra();
+  }
+
   const services = new Map<Types.Service, Bucket[]>();
 
   function getSecond(): number {
@@ -56,8 +74,7 @@
     const recent = buckets.filter((each) => each.second > second - BUCKETS);
     const requests = recent.reduce((sum, each) => sum + each.requests, 0);
     const retries = recent.reduce((sum, each) => sum + each.retries, 0);
-    const allowed = Math.max(requests * RETRY_SHARE, MIN_RETRIES_PER_WINDOW);
-    if (retries + 1 > allowed) return false;
+    if (retries + 1 > getAllowed(requests)) return false;
     getCurrent(buckets, second).retries++;
     return true;
   }
