--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,8 +5,12 @@
 import type * as Types from "../types.ts";
 import type * as GatewayTypes from "./types.ts";
 
-/** Reused connections of requests that may run once only have been idle this long at most. */
-const MAX_IDLE_ONCE_MS = 1_500;
+/**
+ * Targets close idle connections after times that they name, and the client
+ * before that; these bound the rest. A request that may run once only is lost
+ * when its connection closes just as it leaves, so it uses fresher ones.
+ */
+const MAX_IDLE_ONCE_MS = 6_000;
 const MAX_IDLE_MS = 8_000;
 /** A connection that takes longer than this and two round trips is given up. */
 const CONNECT_MARGIN_MS = 250;
--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -1,12 +1,13 @@
 /**
  * Which of an object's places gets a request, or whether it is refused. Load
- * pattern: a target is full, slow, cold or turns requests away, while the
- * object's other places would have to run it for the first time.
+ * pattern: a target is full, slow, cold or turns requests away while the object's
+ * other places are free, some of which have served it before.
  *
- * The object's own place is used while an answer from there is expected in time.
- * A detour costs a slow first run, so it is taken only when it is expected in
- * time and the own place is not. What nobody can answer before its deadline is
- * refused at once.
+ * The place with the shortest expected time is used. A target that has not served
+ * the object lately is expected to take about three times as long, so an object
+ * leaves its place only for a queue that is longer than that; once it has a second
+ * warm place, both share its requests by their queues. What nobody can answer
+ * before its deadline is refused at once.
  */
 import type * as StateModule from "./state.ts";
 
@@ -50,6 +51,8 @@
 const QUEUE_PER_SLOT = 3;
 /** Places that turn away more than this share are asked only when no other is in time. */
 const SHED_LIMIT = 0.3;
+/** Keeps objects at few targets, whose memory of objects is bounded. */
+const RANK_COST_MS = 25;
 /** Advice when nothing at all can be used. */
 const NO_TARGET_RETRY_MS = 300;
 const MIN_RETRY_MS = 100;
@@ -63,6 +66,11 @@
   return place.roundTripMs + waitMs + place.serviceMs;
 }
 
+/** Expected time, and what a place further down the rank costs others. */
+function getCostMs(place: Place): number {
+  return getExpectedMs(place) + place.rank * RANK_COST_MS;
+}
+
 function isFull(place: Place): boolean {
   const { slots } = place.target.entry;
   return place.busy >= slots * (1 + QUEUE_PER_SLOT);
@@ -79,12 +87,8 @@
   const sound = open.filter((one) => one.shedShare < SHED_LIMIT);
   const inTime = (sound.length > 0 ? sound : open)
     .filter((one) => getExpectedMs(one) <= left.inTimeMs);
-  const own = inTime.find((one) => one.rank === 0);
-  if (own !== undefined) return { kind: "send", place: own };
   const pool = inTime.length > 0 ? inTime : open;
-  const quickest = pool.reduce((a, b) =>
-    getExpectedMs(b) < getExpectedMs(a) ? b : a
-  );
+  const quickest = pool.reduce((a, b) => getCostMs(b) < getCostMs(a) ? b : a);
   const expectedMs = getExpectedMs(quickest);
   if (expectedMs <= left.deadlineMs) return { kind: "send", place: quickest };
   const excessMs = expectedMs - left.deadlineMs;
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -23,6 +23,7 @@
 import type * as TargetLoad from "./target_load.ts";
 import type * as Timings from "./timings.ts";
 import type * as GatewayTypes from "./types.ts";
+import type * as Warmth from "./warmth.ts";
 
 /** Time that the answer needs from here to the caller. */
 const WAY_BACK_MS = 15;
@@ -41,6 +42,7 @@
   readonly loads: TargetLoad.TargetLoads;
   readonly coldStarts: ColdStart.ColdStarts;
   readonly timings: Timings.Timings;
+  readonly warmth: Warmth.Warmth;
   readonly quota: Quota.Quota;
   readonly splits: Split.Splits;
   readonly retries: ProductContracts.RetryBudget;
@@ -139,7 +141,7 @@
         roundTripMs: deps.timings.getRoundTripMs(target.region),
         serviceMs: deps.timings.getServiceMs(
           route.name,
-          rank === 0,
+          deps.warmth.isWarm(flight.objectKey, id),
           route.targetLatencyMs / 3,
         ),
       });
@@ -170,6 +172,8 @@
       target: place.target.entry.id,
       rank: place.rank,
       busy: place.busy,
+      rtt: Math.round(place.roundTripMs),
+      expect: Math.round(Choice.getExpectedMs(place)),
       sends: flight.sends,
       status: answer.status,
       ms: Math.round(ms),
@@ -234,7 +238,9 @@
           deps.loads.noteReport(id, result.fields.load);
         }
         if (!isFailure) {
-          deps.timings.noteAnswer(flight.route.name, place.rank === 0, ms);
+          const isWarm = deps.warmth.isWarm(flight.objectKey, id);
+          deps.timings.noteAnswer(flight.route.name, isWarm, ms);
+          deps.warmth.note(flight.objectKey, id);
           deps.poison.reportAnswered(flight.fingerprint);
         }
         return;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,6 +29,7 @@
 import * as TargetLoad from "./target_load.ts";
 import * as Timings from "./timings.ts";
 import type * as GatewayTypes from "./types.ts";
+import * as Warmth from "./warmth.ts";
 
 /** Callers ask the directory again this often; a leaving instance is out of use after three times that. */
 const DIRECTORY_TTL_S = 1;
@@ -206,7 +207,11 @@
       clock,
       onConnect: timings.noteConnect,
     }),
-    placement: Placement.createPlacement(),
+    placement: Placement.createPlacement({
+      origin: instance.region,
+      demand: countDomains(regionOfDomain),
+    }),
+    warmth: Warmth.createWarmth(clock),
     loads,
     coldStarts,
     timings,
@@ -321,3 +326,14 @@
 
   return { stop };
 }
+
+/** Callers are taken to come from each failure domain in equal numbers. */
+function countDomains(
+  regionOfDomain: ReadonlyMap<Types.Domain, Types.Region>,
+): ReadonlyMap<Types.Region, number> {
+  const counts = new Map<Types.Region, number>();
+  for (const region of regionOfDomain.values()) {
+    counts.set(region, (counts.get(region) ?? 0) + 1);
+  }
+  return counts;
+}
--- a/src/gateway/timings.ts
+++ b/src/gateway/timings.ts
@@ -17,11 +17,11 @@
   /** Round trip to the region. */
   getRoundTripMs(region: Types.Region): number;
   /** A target answered `ms` after the request left, without the way. */
-  noteAnswer(route: string, isUsualPlace: boolean, ms: number): void;
-  /** Mean time at a target; `isUsualPlace`: it served the object lately. */
+  noteAnswer(route: string, isWarm: boolean, ms: number): void;
+  /** Mean time at a target; `isWarm`: the target served the object lately. */
   getServiceMs(
     route: string,
-    isUsualPlace: boolean,
+    isWarm: boolean,
     fallbackMs: number,
   ): number;
 }
@@ -31,8 +31,8 @@
   const ways = new Map<Types.Region, number>();
   const means = new Map<string, number>();
 
-  function getKey(route: string, isUsualPlace: boolean): string {
-    return `${route} ${isUsualPlace ? "usual" : "other"}`;
+  function getKey(route: string, isWarm: boolean): string {
+    return `${route} ${isWarm ? "warm" : "first"}`;
   }
 
   return {
@@ -41,20 +41,20 @@
       ways.set(region, known === undefined ? ms : Math.min(ms, known * DRIFT));
     },
     getRoundTripMs: (region) => ways.get(region) ?? UNKNOWN_WAY_MS,
-    noteAnswer(route, isUsualPlace, ms) {
-      const key = getKey(route, isUsualPlace);
+    noteAnswer(route, isWarm, ms) {
+      const key = getKey(route, isWarm);
       const known = means.get(key);
       const next = known === undefined
         ? ms
         : known + MEAN_WEIGHT * (ms - known);
       means.set(key, next);
     },
-    getServiceMs(route, isUsualPlace, fallbackMs) {
-      const known = means.get(getKey(route, isUsualPlace));
+    getServiceMs(route, isWarm, fallbackMs) {
+      const known = means.get(getKey(route, isWarm));
       if (known !== undefined) return known;
-      const usual = means.get(getKey(route, true));
-      if (usual === undefined) return fallbackMs;
-      return isUsualPlace ? usual : usual * FIRST_RUN_FACTOR;
+      const warm = means.get(getKey(route, true));
+      if (warm === undefined) return fallbackMs;
+      return isWarm ? warm : warm * FIRST_RUN_FACTOR;
     },
   };
 }
