--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -27,6 +27,8 @@
   exchanges: number;
   /** Monotonic ms at which its last exchange ended. */
   idleSinceMs: number;
+  /** The connection was reset or failed: an answer that ends with it is not whole. */
+  hasFailed: boolean;
 }
 
 /** Opening a connection failed: no byte of a request left. */
@@ -182,7 +184,9 @@
         socket,
         exchanges: 0,
         idleSinceMs: clock.nowMs(),
+        hasFailed: false,
       };
+      socket.on("error", () => conn.hasFailed = true);
       all.add(conn);
       watchIdle(conn);
       return conn;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -52,6 +52,14 @@
   return pairs;
 }
 
+/** True when only the end of the connection ends the answer. */
+function endsWithConnection(headers: GatewayTypes.HeaderPairs): boolean {
+  return !headers.some(([name]) => {
+    const lower = name.toLowerCase();
+    return lower === "content-length" || lower === "transfer-encoding";
+  });
+}
+
 /** Sends the request and waits for its whole answer, or until `signal` aborts. */
 export function exchange(
   conn: Connections.TargetConnection,
@@ -105,6 +113,11 @@
           const reason = "the connection waited too long for the request";
           return settle({ kind: "broke", reason, wasReset: true });
         }
+        // undici takes a reset for the end of such an answer.
+        if (conn.hasFailed && endsWithConnection(headers)) {
+          const reason = "reset before the answer was whole";
+          return settle({ kind: "broke", reason, wasReset: true });
+        }
         const body = Buffer.concat(chunks, size);
         settle({ kind: "answer", answer: { status, headers, body } });
       },
