--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -347,7 +347,8 @@
 /** Retry budget per service: a share of the requests of the last seconds. */
 export interface RetryBudget {
   countRequest(service: Types.Service): void;
-  tryRetry(service: Types.Service): boolean;
+  /** Takes one retry; `part` of the budget, 0 to 1, is all that the request may use. */
+  tryRetry(service: Types.Service, part?: number): boolean;
 }
 
 /** How a request ended, for metrics and the burn report. */
--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -3,11 +3,11 @@
  * pattern: a target is full, slow, cold or turns requests away while the object's
  * other places are free, some of which have served it before.
  *
- * The place with the shortest expected time is used. A target that has not served
- * the object lately is expected to take about three times as long, so an object
- * leaves its place only for a queue that is longer than that; once it has a second
- * warm place, both share its requests by their queues. What nobody can answer
- * before its deadline is refused at once.
+ * The place with the lowest cost is used: the expected time, and for a place that
+ * has not served the object lately, the work that a first run takes from others
+ * when the target is busy. A queue is let grow only as long as those who wait in
+ * it are answered in time; beyond that everybody would be late, so the rest is
+ * refused at once, the less urgent first.
  */
 import type * as StateModule from "./state.ts";
 
@@ -25,21 +25,33 @@
   /** Share of recent requests that it turned away. */
   readonly shedShare: number;
   readonly roundTripMs: number;
-  /** Expected time there once the request runs. */
-  readonly serviceMs: number;
+  /** It has served the object lately. */
+  readonly isWarm: boolean;
+  /** Time until the object's first run there ends, when one is on its way. */
+  readonly warmingMs: number | undefined;
 }
 
-/** What a request has left. */
-export interface TimeLeft {
-  /** Until the answer is worth less. */
+/** What is known of the request. */
+export interface Demand {
+  /** Until the answer is worth less, ms. */
   readonly inTimeMs: number;
-  /** Until it is worth nothing. */
+  /** Until it is worth nothing, ms. */
   readonly deadlineMs: number;
+  /** The whole time within which an answer is worth most, ms. */
+  readonly targetLatencyMs: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Expected time at a target that served the object lately, ms. */
+  readonly warmMs: number;
+  /** Expected time of a first run, ms. */
+  readonly firstRunMs: number;
 }
 
 /** What to do with a request. */
 export type Choice =
   | { readonly kind: "send"; readonly place: Place }
+  /** The object's first run there ends soon. */
+  | { readonly kind: "wait"; readonly place: Place; readonly maxMs: number }
   | {
     readonly kind: "refuse";
     readonly reason: "no-target" | "full";
@@ -51,24 +63,62 @@
 const QUEUE_PER_SLOT = 3;
 /** Places that turn away more than this share are asked only when no other is in time. */
 const SHED_LIMIT = 0.3;
-/** Keeps objects at few targets, whose memory of objects is bounded. */
-const RANK_COST_MS = 25;
+/**
+ * Keeps objects at two places where that does: a target remembers a bounded number
+ * of objects (about 67 on the users' sites, with 17 a target), and each further
+ * place of an object pushes another one out.
+ */
+const RANK_COST_MS: readonly number[] = [0, 25, 120, 240];
+/** Part of the time in time that the most urgent requests may wait, and what each rank of urgency takes off. */
+const WAIT_PART = 1;
+const WAIT_PART_STEP = 0.15;
+const MIN_WAIT_PART = 0.4;
+/** A queue below this is there at any load. */
+const MIN_WAIT_MS = 60;
 /** Advice when nothing at all can be used. */
 const NO_TARGET_RETRY_MS = 300;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
 
-/** Time until an answer from the place, as far as known. */
-export function getExpectedMs(place: Place): number {
+/** Time in the target's queue, as far as known. */
+export function getWaitMs(place: Place, demand: Demand): number {
   const { slots } = place.target.entry;
   const ahead = Math.max(0, place.busy + 1 - slots);
-  const waitMs = ahead * place.serviceMs / slots;
-  return place.roundTripMs + waitMs + place.serviceMs;
+  return ahead * demand.warmMs / slots;
+}
+
+/** Time until an answer from the place. */
+export function getExpectedMs(place: Place, demand: Demand): number {
+  const isFast = place.isWarm || place.warmingMs !== undefined;
+  const serviceMs = isFast ? demand.warmMs : demand.firstRunMs;
+  const waitMs = Math.max(getWaitMs(place, demand), place.warmingMs ?? 0);
+  return place.roundTripMs + waitMs + serviceMs;
+}
+
+/** Expected time, and what the place costs others. */
+function getCostMs(place: Place, demand: Demand): number {
+  const expectedMs = getExpectedMs(place, demand);
+  const rankMs = RANK_COST_MS[place.rank] ?? Infinity;
+  if (place.isWarm || place.warmingMs !== undefined) return expectedMs + rankMs;
+  const use = Math.min(1, place.busy / place.target.entry.slots);
+  return expectedMs + rankMs + use * (demand.firstRunMs - demand.warmMs);
+}
+
+/** Longest queue in which a request of this urgency may wait. */
+function getMaxWaitMs(place: Place, demand: Demand): number {
+  const spareMs = demand.targetLatencyMs - place.roundTripMs - demand.warmMs;
+  const part = Math.max(
+    WAIT_PART - demand.priority * WAIT_PART_STEP,
+    MIN_WAIT_PART,
+  );
+  return Math.max(MIN_WAIT_MS, spareMs * part);
 }
 
-/** Expected time, and what a place further down the rank costs others. */
-function getCostMs(place: Place): number {
-  return getExpectedMs(place) + place.rank * RANK_COST_MS;
+/** A first run away from the own place is worth it only on slots that nobody else wants. */
+function isShort(place: Place, demand: Demand): boolean {
+  const isDetour = place.rank > 0 && !place.isWarm;
+  if (isDetour) return place.busy < place.target.entry.slots;
+  return getWaitMs(place, demand) <= getMaxWaitMs(place, demand);
 }
 
 function isFull(place: Place): boolean {
@@ -76,25 +126,50 @@
   return place.busy >= slots * (1 + QUEUE_PER_SLOT);
 }
 
+function refuse(reason: "no-target" | "full", afterMs: number): Choice {
+  const retryAfterMs = Math.min(Math.max(afterMs, MIN_RETRY_MS), MAX_RETRY_MS);
+  return { kind: "refuse", reason, retryAfterMs };
+}
+
 /** Chooses among an object's places, best ranked first. */
-export function choose(places: readonly Place[], left: TimeLeft): Choice {
+export function choose(places: readonly Place[], demand: Demand): Choice {
   const reachable = places.filter((one) => !one.isPaused);
   const open = reachable.filter((one) => !one.isColdFull && !isFull(one));
   if (open.length === 0) {
     const reason = reachable.length === 0 ? "no-target" : "full";
-    return { kind: "refuse", reason, retryAfterMs: NO_TARGET_RETRY_MS };
+    return refuse(reason, NO_TARGET_RETRY_MS);
   }
-  const sound = open.filter((one) => one.shedShare < SHED_LIMIT);
-  const inTime = (sound.length > 0 ? sound : open)
-    .filter((one) => getExpectedMs(one) <= left.inTimeMs);
-  const pool = inTime.length > 0 ? inTime : open;
-  const quickest = pool.reduce((a, b) => getCostMs(b) < getCostMs(a) ? b : a);
-  const expectedMs = getExpectedMs(quickest);
-  if (expectedMs <= left.deadlineMs) return { kind: "send", place: quickest };
-  const excessMs = expectedMs - left.deadlineMs;
-  return {
-    kind: "refuse",
-    reason: "full",
-    retryAfterMs: Math.min(Math.max(excessMs, MIN_RETRY_MS), MAX_RETRY_MS),
-  };
+  const short = open.filter((one) => isShort(one, demand));
+  if (short.length === 0) {
+    const waits = open.map((one) =>
+      getWaitMs(one, demand) - getMaxWaitMs(one, demand)
+    );
+    return refuse("full", Math.min(...waits));
+  }
+  const sound = short.filter((one) => one.shedShare < SHED_LIMIT);
+  const best = (sound.length > 0 ? sound : short).reduce((a, b) =>
+    getCostMs(b, demand) < getCostMs(a, demand) ? b : a
+  );
+  const warming = tryGetWarming(short, best, demand);
+  if (warming?.warmingMs !== undefined) {
+    return { kind: "wait", place: warming, maxMs: warming.warmingMs };
+  }
+  const expectedMs = getExpectedMs(best, demand);
+  if (expectedMs > demand.deadlineMs) {
+    return refuse("full", expectedMs - demand.deadlineMs);
+  }
+  return { kind: "send", place: best };
+}
+
+/** A place to wait for instead of one more first run, if the wait ends before the deadline. */
+function tryGetWarming(
+  places: readonly Place[],
+  best: Place,
+  demand: Demand,
+): Place | undefined {
+  if (best.isWarm) return undefined;
+  return places.find((one) =>
+    !one.isWarm && one.warmingMs !== undefined &&
+    getExpectedMs(one, demand) <= demand.deadlineMs
+  );
 }
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -29,6 +29,8 @@
   idleSinceMs: number;
   /** The connection was reset or failed: an answer that ends with it is not whole. */
   hasFailed: boolean;
+  /** An exchange is on it. */
+  isBusy: boolean;
 }
 
 /** Opening a connection failed: no byte of a request left. */
@@ -104,6 +106,20 @@
     });
   }
 
+  /**
+   * A reset that follows the last bytes closely is read as an ordinary end. Only a
+   * write tells them apart; an empty line between requests means nothing in HTTP.
+   */
+  function watchForReset(conn: TargetConnection): void {
+    const { socket } = conn;
+    socket.on("error", () => conn.hasFailed = true);
+    socket.once("end", () => {
+      if (!conn.isBusy) return;
+      socket.write("\r\n");
+      if (socket.errored !== null) conn.hasFailed = true;
+    });
+  }
+
   function createClient(
     address: Types.Address,
     socket: Net.Socket,
@@ -138,6 +154,8 @@
       const socket = Net.connect({
         ...parsed,
         noDelay: true,
+        // Lets `watchForReset` write after the other side's end.
+        allowHalfOpen: true,
         ...(opts.localAddress === undefined
           ? {}
           : { localAddress: opts.localAddress }),
@@ -185,8 +203,9 @@
         exchanges: 0,
         idleSinceMs: clock.nowMs(),
         hasFailed: false,
+        isBusy: false,
       };
-      socket.on("error", () => conn.hasFailed = true);
+      watchForReset(conn);
       all.add(conn);
       watchIdle(conn);
       return conn;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -67,6 +67,7 @@
   signal: AbortSignal,
 ): Promise<ExchangeResult> {
   conn.exchanges++;
+  conn.isBusy = true;
   return new Promise((resolve) => {
     let status = 0;
     let headers: GatewayTypes.HeaderPairs = [];
@@ -77,6 +78,7 @@
     function settle(result: ExchangeResult): void {
       if (isSettled) return;
       isSettled = true;
+      conn.isBusy = false;
       signal.removeEventListener("abort", onAbort);
       resolve(result);
     }
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -23,6 +23,7 @@
 import type * as TargetLoad from "./target_load.ts";
 import type * as Timings from "./timings.ts";
 import type * as GatewayTypes from "./types.ts";
+import type * as Warmup from "./warmup.ts";
 import type * as Warmth from "./warmth.ts";
 
 /** Time that the answer needs from here to the caller. */
@@ -31,7 +32,12 @@
 const MIN_SEND_MS = 20;
 /** Connections that could not be made cost no target anything; still, time runs. */
 const MAX_UNREACHABLE = 4;
-const SHED_RETRY_MS = 250;
+/** A caller that was turned away comes back after the target's queue, and not sooner than this. */
+const MIN_SHED_RETRY_MS = 20;
+const MAX_SHED_RETRY_MS = 500;
+/** Part of the budget of second sends that is kept for each rank of urgency above the request's. */
+const RETRY_PART_STEP = 0.25;
+const MIN_RETRY_PART = 0.3;
 
 /** What the request path needs. */
 export interface ForwarderDeps {
@@ -43,6 +49,7 @@
   readonly coldStarts: ColdStart.ColdStarts;
   readonly timings: Timings.Timings;
   readonly warmth: Warmth.Warmth;
+  readonly warmups: Warmup.Warmups;
   readonly quota: Quota.Quota;
   readonly splits: Split.Splits;
   readonly retries: ProductContracts.RetryBudget;
@@ -139,16 +146,29 @@
         busy: deps.loads.getBusy(id),
         shedShare: deps.loads.getShedShare(id),
         roundTripMs: deps.timings.getRoundTripMs(target.region),
-        serviceMs: deps.timings.getServiceMs(
-          route.name,
-          deps.warmth.isWarm(flight.objectKey, id),
-          route.targetLatencyMs / 3,
-        ),
+        isWarm: deps.warmth.isWarm(flight.objectKey, id),
+        warmingMs: deps.warmups.tryGetRemainingMs(flight.objectKey, id),
       });
     });
     return places;
   }
 
+  function getDemand(flight: Flight): Choice.Demand {
+    const { endsAtMs, route, startedAtMs } = flight;
+    const now = clock.nowMs();
+    const { name, targetLatencyMs } = route;
+    const guessMs = targetLatencyMs / 3;
+    return {
+      inTimeMs: startedAtMs + targetLatencyMs - now,
+      deadlineMs: endsAtMs - now - MIN_SEND_MS,
+      targetLatencyMs,
+      priority: getPriority(flight),
+      warmMs: deps.timings.getServiceMs(name, true, guessMs),
+      // What was never measured is no reason to refuse.
+      firstRunMs: deps.timings.getServiceMs(name, false, guessMs),
+    };
+  }
+
   function sendAnswer(
     flight: Flight,
     place: Choice.Place,
@@ -173,7 +193,7 @@
       rank: place.rank,
       busy: place.busy,
       rtt: Math.round(place.roundTripMs),
-      expect: Math.round(Choice.getExpectedMs(place)),
+      isWarm: place.isWarm,
       sends: flight.sends,
       status: answer.status,
       ms: Math.round(ms),
@@ -239,7 +259,9 @@
         }
         if (!isFailure) {
           const isWarm = deps.warmth.isWarm(flight.objectKey, id);
-          deps.timings.noteAnswer(flight.route.name, isWarm, ms);
+          // Time in a queue is no time at work.
+          const hadSlot = place.busy < place.target.entry.slots;
+          if (hadSlot) deps.timings.noteAnswer(flight.route.name, isWarm, ms);
           deps.warmth.note(flight.objectKey, id);
           deps.poison.reportAnswered(flight.fingerprint);
         }
@@ -280,7 +302,18 @@
     if (flight.sends >= maxTargets) return false;
     const isSafe = result.kind === "not-run" ||
       (result.kind === "broke" && isRepeatable);
-    return isSafe && deps.retries.tryRetry(flight.service);
+    return isSafe && tryRetry(flight);
+  }
+
+  /** The most urgent requests may use the whole budget of second sends. */
+  function tryRetry(flight: Flight): boolean {
+    const priority = getPriority(flight);
+    const part = Math.max(1 - priority * RETRY_PART_STEP, MIN_RETRY_PART);
+    return deps.retries.tryRetry(flight.service, part);
+  }
+
+  function getPriority({ account, route }: Flight): number {
+    return account?.priority ?? route.priority;
   }
 
   function end(
@@ -310,12 +343,9 @@
 
   async function run(flight: Flight): Promise<void> {
     for (;;) {
-      const now = clock.nowMs();
-      const left: Choice.TimeLeft = {
-        inTimeMs: flight.startedAtMs + flight.route.targetLatencyMs - now,
-        deadlineMs: flight.endsAtMs - now - MIN_SEND_MS,
-      };
-      const choice = Choice.choose(getPlaces(flight), left);
+      if (flight.signal.aborted) return endAborted(flight, undefined);
+      const demand = getDemand(flight);
+      const choice = Choice.choose(getPlaces(flight), demand);
       if (choice.kind === "refuse") {
         const code = choice.reason === "full" ? "queueFull" : "noTarget";
         const refusal = Reply.refuse(code, "not-run", choice.retryAfterMs);
@@ -323,13 +353,23 @@
       }
       const { place } = choice;
       const { id } = place.target.entry;
+      if (choice.kind === "wait") {
+        const { objectKey, signal } = flight;
+        await deps.warmups.wait(objectKey, id, choice.maxMs, signal);
+        continue;
+      }
+      const expectedMs = Choice.getExpectedMs(place, demand);
+      const endWarmup = place.isWarm
+        ? undefined
+        : deps.warmups.start(flight.objectKey, id, expectedMs);
       const result = await send(flight, place);
+      endWarmup?.();
       if (result.kind !== "unreachable") flight.sends++;
       if (result.kind === "aborted") return endAborted(flight, id);
       if (result.kind === "answer") {
         const mayRepeat = result.answer.status >= 500 &&
           flight.route.isRepeatable && flight.sends < flight.route.maxTargets &&
-          deps.retries.tryRetry(flight.service);
+          tryRetry(flight);
         if (!mayRepeat) return sendAnswer(flight, place, result);
         // A target's own failure counts as run.
         flight.mayHaveRun = true;
@@ -340,12 +380,17 @@
         const refusal = Reply.refuse("targetBroke", "unknown");
         return end(flight, refusal, result.reason, id);
       }
-      const refusal = Reply.refuse("shedByTarget", "not-run", SHED_RETRY_MS);
+      const waitMs = Choice.getWaitMs(place, demand);
+      const refusal = Reply.refuse(
+        "shedByTarget",
+        "not-run",
+        Math.min(Math.max(waitMs, MIN_SHED_RETRY_MS), MAX_SHED_RETRY_MS),
+      );
       return end(flight, refusal, result.kind, id);
     }
   }
 
-  function endAborted(flight: Flight, id: Types.TargetId): void {
+  function endAborted(flight: Flight, id: Types.TargetId | undefined): void {
     if (flight.res.destroyed) {
       deps.log.write("caller-left", {
         id: flight.fields.requestId,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,12 +29,13 @@
 import * as TargetLoad from "./target_load.ts";
 import * as Timings from "./timings.ts";
 import type * as GatewayTypes from "./types.ts";
+import * as Warmup from "./warmup.ts";
 import * as Warmth from "./warmth.ts";
 
 /** Callers ask the directory again this often; a leaving instance is out of use after three times that. */
 const DIRECTORY_TTL_S = 1;
 /** What is left of the fleet's second sends for what instances do not know of each other. */
-const RETRY_SAFETY = 0.8;
+const RETRY_SAFETY = 0.92;
 /** A cold target crashes well above its rate. */
 const COLD_FACTOR = 1.2;
 /** After SIGTERM callers get this long to find other instances. */
@@ -212,6 +213,7 @@
       demand: countDomains(regionOfDomain),
     }),
     warmth: Warmth.createWarmth(clock),
+    warmups: Warmup.createWarmups(clock),
     loads,
     coldStarts,
     timings,
--- a/src/gateway/warmth.ts
+++ b/src/gateway/warmth.ts
@@ -3,7 +3,7 @@
 import type * as Types from "../types.ts";
 
 /** Targets keep a bounded number of objects; one that was not asked for this long may be out. */
-const WARM_MS = 20_000;
+const WARM_MS = 10_000;
 /** Pairs of object and target; about 150 bytes each. */
 const MAX_PAIRS = 20_000;
 
--- a/src/retry/retry_budget.ts
+++ b/src/retry/retry_budget.ts
@@ -68,13 +68,13 @@
     return fresh;
   }
 
-  function tryRetry(service: Types.Service): boolean {
+  function tryRetry(service: Types.Service, part = 1): boolean {
     const second = getSecond();
     const buckets = getBuckets(service);
     const recent = buckets.filter((each) => each.second > second - BUCKETS);
     const requests = recent.reduce((sum, each) => sum + each.requests, 0);
     const retries = recent.reduce((sum, each) => sum + each.retries, 0);
-    if (retries + 1 > getAllowed(requests)) return false;
+    if (retries + 1 > getAllowed(requests) * part) return false;
     getCurrent(buckets, second).retries++;
     return true;
   }
--- a/testing/fakes/gateway_data.ts
+++ b/testing/fakes/gateway_data.ts
@@ -45,7 +45,12 @@
   accounts: readonly GatewayTypes.AccountSpec[] = [createAccount()],
   routes: readonly GatewayTypes.Route[] = [createRoute()],
 ): GatewayTypes.RouteConfig {
-  const service = { name: "orders", maxConns: 330, coldMs: 3_000, coldPerS: 15 };
+  const service = {
+    name: "orders",
+    maxConns: 330,
+    coldMs: 3_000,
+    coldPerS: 15,
+  };
   return {
     version,
     services: new Map([[service.name, service]]),
--- a/tests/gateway/exchange_test.ts
+++ b/tests/gateway/exchange_test.ts
@@ -80,6 +80,20 @@
     });
   });
 
+  // Guards against a reset that is read as an end, because it follows closely
+  // (bench: MIXED 31 on trouble-2 after the first remedy).
+  it("sees a reset right behind the last bytes", async () => {
+    const { conn } = await open([(socket) => {
+      socket.end("HTTP/1.1 200 OK\r\n\r\nhal", () => {
+        socket.resetAndDestroy();
+        // The client reads the bytes, the end and the reset in one turn.
+        const untilMs = Date.now() + 30;
+        while (Date.now() < untilMs);
+      });
+    }]);
+    expect((await send(conn)).kind).toBe("broke");
+  });
+
   // Guards against a second answer that is taken for the next request's own.
   it("never uses a connection again on which more bytes came", async () => {
     const answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
