Test the gateway and the adapter against a stand-in store; note the design

Cause of the change in timings.ts: after a first run alone the warm time was still a guess, larger than the measured first run, so an object left its place at once (the new test 'serves a request at the object's place' failed before).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -77,6 +77,8 @@
 export interface Gateway {
   /** Stops gracefully; resolves when nothing is left. */
   stop(): Promise<void>;
+  /** Ends everything at once. */
+  close(): Promise<void>;
 }
 
 /** Starts an instance. Rejects when a listener can't be bound. */
@@ -320,13 +322,17 @@
     }
     log.info("stopped", { inFlight: caller.getInFlight() });
     requestLog.flush();
-    await Promise.race([
-      Promise.all([caller, ...others].map((one) => one.close())),
-      Clock.sleep(STOP_MARGIN_MS / 4),
-    ]);
+    await Promise.race([close(), Clock.sleep(STOP_MARGIN_MS / 4)]);
   }
 
-  return { stop };
+  async function close(): Promise<void> {
+    const listeners = [caller, ...others].map((one) => one.close());
+    connections.close();
+    await Promise.all([...listeners, root.stop()]);
+    await store.close();
+  }
+
+  return { stop, close };
 }
 
 /** Callers are taken to come from each failure domain in equal numbers. */
--- a/src/gateway/timings.ts
+++ b/src/gateway/timings.ts
@@ -52,9 +52,9 @@
     getServiceMs(route, isWarm, fallbackMs) {
       const known = means.get(getKey(route, isWarm));
       if (known !== undefined) return known;
-      const warm = means.get(getKey(route, true));
-      if (warm === undefined) return fallbackMs;
-      return isWarm ? warm : warm * FIRST_RUN_FACTOR;
+      const other = means.get(getKey(route, !isWarm));
+      if (other === undefined) return fallbackMs;
+      return isWarm ? other / FIRST_RUN_FACTOR : other * FIRST_RUN_FACTOR;
     },
   };
 }
--- /dev/null
+++ b/testing/kv/kv_target.ts
@@ -0,0 +1,101 @@
+/** Stand-in for a target on the users' platform: registers itself, serves, records what ran. */
+import * as Http from "node:http";
+import type * as Net from "node:net";
+import type * as KvStore from "./kv_store.ts";
+
+/** What the target does with the next requests. */
+export type Behaviour =
+  | "serve"
+  /** Says that it did not run the request. */
+  | "shed"
+  /** Runs it and resets the connection. */
+  | "reset"
+  /** Runs it and never answers. */
+  | "hang"
+  /** Another target has the address. */
+  | "other-target";
+
+/** A running target. */
+export interface KvTarget {
+  readonly id: string;
+  /** Ids of the requests that ran, in order. */
+  readonly ran: readonly string[];
+  /** Headers of the requests that arrived. */
+  readonly seen: readonly Http.IncomingHttpHeaders[];
+  /** Requests whose connection the gateway closed before the answer. */
+  getCancelled(): number;
+  setBehaviour(behaviour: Behaviour): void;
+  register(state?: "ready" | "draining", over?: object): void;
+  close(): Promise<void>;
+}
+
+/** Starts a target of a service in a zone and registers it. */
+export async function startKvTarget(
+  store: KvStore.KvStore,
+  id: string,
+  service: string,
+  zone: string,
+): Promise<KvTarget> {
+  const ran: string[] = [];
+  const seen: Http.IncomingHttpHeaders[] = [];
+  let behaviour: Behaviour = "serve";
+  let cancelled = 0;
+  const server = Http.createServer({ keepAliveTimeout: 10_000 }, (req, res) => {
+    const requestId = String(req.headers["x-request-id"]);
+    seen.push(req.headers);
+    res.setHeader("X-Request-Id", requestId);
+    res.setHeader("X-Server-Load", `${0},0,4`);
+    res.on("close", () => {
+      if (!res.writableFinished) cancelled++;
+    });
+    const chunks: Buffer[] = [];
+    req.on("data", (chunk: Buffer) => chunks.push(chunk));
+    req.on("end", () => {
+      switch (behaviour) {
+        case "shed":
+          res.writeHead(503, { "X-Not-Run": "1" });
+          return void res.end();
+        case "other-target":
+          res.writeHead(421, { "X-Instance-Id": "i-other" });
+          return void res.end();
+        case "reset":
+          ran.push(requestId);
+          return void req.socket.resetAndDestroy();
+        case "hang":
+          ran.push(requestId);
+          return;
+        case "serve":
+          ran.push(requestId);
+          res.setHeader("X-Server-Stamp", `stamp.${id}`);
+          return void res.end(`${id} ${Buffer.concat(chunks).toString()}`);
+      }
+    });
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as Net.AddressInfo;
+  const entry = {
+    service,
+    address: `127.0.0.1:${port}`,
+    zone,
+    version: "v1",
+    capacity: 4,
+    coldLeftMs: 0,
+    callSeq: 1,
+    born: 1,
+  };
+  const register: KvTarget["register"] = (state = "ready", over = {}) =>
+    store.put(`servers/${id}`, JSON.stringify({ ...entry, state, ...over }));
+  register();
+  return {
+    id,
+    ran,
+    seen,
+    getCancelled: () => cancelled,
+    setBehaviour: (next) => void (behaviour = next),
+    register,
+    close() {
+      server.closeAllConnections();
+      return new Promise((done) => server.close(() => done()));
+    },
+  };
+}
