--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -251,7 +251,9 @@
     const { id } = place.target.entry;
     switch (result.kind) {
       case "answer": {
-        const ms = clock.nowMs() - sentAtMs - place.roundTripMs;
+        // Measured anew: before the first connection the way was a guess.
+        const wayMs = deps.timings.getRoundTripMs(place.target.region);
+        const ms = Math.max(1, clock.nowMs() - sentAtMs - wayMs);
         const isFailure = result.answer.status >= 500;
         deps.loads.end(id, "answered");
         if (result.fields.load !== undefined) {
