--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -21,8 +21,12 @@
 const RETRY_MIN_MS = 100;
 /** The store's return must be noticed well within the 2 s in which entries come back. */
 const RETRY_MAX_MS = 400;
-/** Changes within this time of the first one come with one answer. */
-const GATHER_MS = 60;
+/**
+ * Changes within this time after a first one come with one answer: entries come
+ * and go in series, each instance watches, and the store counts every call. Far
+ * below the 2.5 s in which a change must be in force.
+ */
+const GATHER_MS = 250;
 /** An outage shorter than this can't have made entries lapse. */
 const SHORT_OUTAGE_MS = 1_500;
 /** A peer that heard from the store this lately shows that the store is up. */
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -93,11 +93,11 @@
     const region = opts.regionOfDomain.get(entry.domain) ?? entry.domain;
     const coldUntilMs = clock.nowMs() + entry.coldLeftMs;
     targets.set(entry.id, { entry, region, coldUntilMs });
-    const isMember = before !== undefined && isSameRun &&
+    noteMembershipChange();
+    const isKnown = before !== undefined && isSameRun &&
       before.entry.isLeaving === entry.isLeaving &&
       before.entry.service === entry.service;
-    noteMembershipChange();
-    if (isMember) return;
+    if (isKnown) return;
     log.info(entry.isLeaving ? "target-leaving" : "target-known", {
       target: entry.id,
       service: entry.service,
