Keep objects at two places, wait longer for first runs; a model to try it on

Cause: in the model, objects spread over more places than targets remember, and requests gave up on a first run that a queue delayed. Ruled out by the model: shorter and longer queues (0.8 and 1.4 of the time in time), more objects kept at home (1.6), fewer detours to busy targets. Pulses come less often beyond 24 members (87 instances sent 8,000 a second together).

--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -68,7 +68,7 @@
  * of objects (about 67 on the users' sites, with 17 a target), and each further
  * place of an object pushes another one out.
  */
-const RANK_COST_MS: readonly number[] = [0, 25, 120, 240];
+const RANK_COST_MS: readonly number[] = [0, 80, 160, 300];
 /** Part of the time in time that the most urgent requests may wait, and what each rank of urgency takes off. */
 const WAIT_PART = 1;
 const WAIT_PART_STEP = 0.15;
--- a/src/gateway/pulse.ts
+++ b/src/gateway/pulse.ts
@@ -12,6 +12,8 @@
 
 /** Bounds how far the shares of an account's limit lag behind its callers. */
 const INTERVAL_MS = 250;
+/** Beyond this many members pulses come less often, so that their cost per instance stays. */
+const FULL_RATE_MEMBERS = 24;
 const METHOD = "gateway.pulse";
 /** JSON has no infinity. */
 const MAX_AGE_MS = 1e9;
@@ -35,8 +37,13 @@
     if (Json.isObject(demands)) quota.notePeer(from, readDemands(demands));
   }
 
+  let ticks = 0;
   peers.handle(METHOD, receive);
   opts.supervisor.every("pulse", INTERVAL_MS, () => {
+    const every = Math.ceil(
+      (peers.getMembers().length + 1) / FULL_RATE_MEMBERS,
+    );
+    if (++ticks % every !== 0) return;
     peers.notifyAll(METHOD, {
       revision: feed.getRevision(),
       storeAgeMs: Math.min(Math.round(feed.getStoreAgeMs()), MAX_AGE_MS),
--- a/src/gateway/warmup.ts
+++ b/src/gateway/warmup.ts
@@ -9,7 +9,7 @@
 import type * as Types from "../types.ts";
 
 /** A first run that takes this much longer than expected is not waited for any more. */
-const PATIENCE_FACTOR = 2;
+const PATIENCE_FACTOR = 5;
 const MIN_REMAINING_MS = 20;
 
 /** First runs on their way. */
--- /dev/null
+++ b/testing/model/fleet_model.ts
@@ -0,0 +1,369 @@
+/**
+ * A small deterministic model of the served systems: targets with slots, a queue,
+ * a bounded memory of objects and slow first runs, and instances that see the
+ * targets' load late. Time is simulated; the decisions are the product's own
+ * (`choice.ts`, `placement.ts`, `warmup.ts`, `target_load.ts`).
+ */
+import * as Choice from "../../src/gateway/choice.ts";
+import * as Placement from "../../src/gateway/placement.ts";
+import type * as State from "../../src/gateway/state.ts";
+import * as TargetLoad from "../../src/gateway/target_load.ts";
+import * as Timings from "../../src/gateway/timings.ts";
+import * as Warmth from "../../src/gateway/warmth.ts";
+import * as Warmup from "../../src/gateway/warmup.ts";
+import * as Random from "../load/random.ts";
+import * as Events from "./events.ts";
+
+/** How an instance chooses a target. */
+export type Policy =
+  /** As the product does. */
+  | "product"
+  /** Always the object's own place, however long its queue. */
+  | "own-place"
+  /** Any target. */
+  | "random";
+
+/** What happens in a run. */
+export interface Scenario {
+  readonly name: string;
+  /** The load that it replays, for people. */
+  readonly pattern: string;
+  readonly regions: readonly {
+    readonly name: string;
+    readonly targets: number;
+    readonly instances: number;
+  }[];
+  readonly requestsPerS: number;
+  readonly objectsPerRegion: number;
+  readonly durationMs: number;
+  /** Factor of the request rate at a time. */
+  readonly getRateFactor?: (atMs: number) => number;
+  /** Targets of a region that are gone from a time on. */
+  readonly loss?: {
+    readonly region: string;
+    readonly atMs: number;
+    readonly targets: number;
+  };
+  /** Share of arrivals that targets turn away without need, between two times. */
+  readonly shed?: {
+    readonly fromMs: number;
+    readonly toMs: number;
+    readonly share: number;
+  };
+}
+
+/** Counts of one second. */
+export interface Second {
+  asked: number;
+  inTime: number;
+  late: number;
+  refused: number;
+}
+
+/** What came of a run. */
+export interface Outcome {
+  readonly seconds: readonly Second[];
+  readonly firstRuns: number;
+  readonly total: Second;
+}
+
+const SLOTS = 9;
+const QUEUE = 27;
+const MEMORY_OBJECTS = 67;
+const WARM_MS = 144;
+const FIRST_RUN_MS = 480;
+const TARGET_LATENCY_MS = 400;
+const DEADLINE_MS = 2_500;
+const FAR_MS = 110;
+const NEAR_MS = 2;
+const MAX_TARGETS = 2;
+const ROUTE = "r";
+
+interface ModelTarget {
+  readonly known: State.KnownTarget;
+  running: number;
+  readonly waiting: (() => void)[];
+  /** Objects served, last served last. */
+  readonly memory: Map<string, true>;
+  isGone: boolean;
+}
+
+interface ModelRequest {
+  readonly objectKey: string;
+  readonly startedAtMs: number;
+  readonly second: Second;
+  readonly tried: Set<string>;
+}
+
+/** Plays a scenario under a policy; the same seed gives the same run. */
+export function playScenario(
+  scenario: Scenario,
+  policy: Policy,
+  seed: number,
+): Outcome {
+  const random = Random.createRandom(seed);
+  const events = Events.createEvents();
+  const clock = { nowMs: events.nowMs, wallMs: events.nowMs };
+  const demand = new Map(scenario.regions.map(({ name }) => [name, 1]));
+  const targets = scenario.regions.flatMap(createTargets);
+  const byId = new Map(targets.map((one) => [one.known.entry.id, one]));
+  const seconds: Second[] = Array.from(
+    { length: Math.ceil(scenario.durationMs / 1_000) },
+    () => ({ asked: 0, inTime: 0, late: 0, refused: 0 }),
+  );
+  let firstRuns = 0;
+  let epoch = 0;
+
+  const instances = scenario.regions.flatMap(({ name, instances: count }) =>
+    Array.from({ length: count }, () => createInstance(name))
+  );
+
+  function createInstance(region: string) {
+    const loads = TargetLoad.createTargetLoads(clock);
+    const timings = Timings.createTimings();
+    const warmth = Warmth.createWarmth(clock);
+    const warmups = Warmup.createWarmups(clock);
+    const placement = Placement.createPlacement({ origin: region, demand });
+    const getWayMs = (target: State.KnownTarget) =>
+      target.region === region ? NEAR_MS : FAR_MS;
+
+    function getPlaces(req: ModelRequest): readonly Choice.Place[] {
+      const usable = targets.filter((one) => !one.isGone)
+        .map((one) => one.known);
+      const ranked = placement.rank(ROUTE, req.objectKey, epoch, usable);
+      return ranked.map((target, rank): Choice.Place => {
+        const { id } = target.entry;
+        return {
+          target,
+          rank,
+          isPaused: loads.isPaused(id),
+          isColdFull: false,
+          busy: loads.getBusy(id),
+          shedShare: loads.getShedShare(id),
+          roundTripMs: getWayMs(target),
+          isWarm: warmth.isWarm(req.objectKey, id),
+          warmingMs: warmups.tryGetRemainingMs(req.objectKey, id),
+        };
+      }).filter((place) => !req.tried.has(place.target.entry.id));
+    }
+
+    function decide(
+      req: ModelRequest,
+      places: readonly Choice.Place[],
+      left: Choice.Demand,
+    ): Choice.Choice {
+      const none: Choice.Choice = {
+        kind: "refuse",
+        reason: "no-target",
+        retryAfterMs: 0,
+      };
+      switch (policy) {
+        case "product":
+          return Choice.choose(places, left);
+        case "own-place":
+          return places[0] === undefined
+            ? none
+            : { kind: "send", place: places[0] };
+        case "random": {
+          const usable = targets.filter((one) =>
+            !one.isGone && !req.tried.has(one.known.entry.id)
+          );
+          const target = usable[Math.floor(random() * usable.length)]?.known;
+          if (target === undefined) return none;
+          const first = places[0]!;
+          return { kind: "send", place: { ...first, target, rank: 0 } };
+        }
+      }
+    }
+
+    function handle(req: ModelRequest): void {
+      const now = events.nowMs();
+      const elapsedMs = now - req.startedAtMs;
+      const left: Choice.Demand = {
+        inTimeMs: TARGET_LATENCY_MS - elapsedMs,
+        deadlineMs: DEADLINE_MS - elapsedMs,
+        targetLatencyMs: TARGET_LATENCY_MS,
+        priority: 1,
+        warmMs: timings.getServiceMs(ROUTE, true, TARGET_LATENCY_MS / 3),
+        firstRunMs: timings.getServiceMs(ROUTE, false, TARGET_LATENCY_MS / 3),
+      };
+      const choice = decide(req, getPlaces(req), left);
+      switch (choice.kind) {
+        case "refuse":
+          req.second.refused++;
+          return;
+        case "wait":
+          events.after(choice.maxMs, () => handle(req));
+          return;
+        case "send":
+          return send(req, choice.place, left);
+      }
+    }
+
+    function send(
+      req: ModelRequest,
+      place: Choice.Place,
+      left: Choice.Demand,
+    ): void {
+      const { id } = place.target.entry;
+      const sentAtMs = events.nowMs();
+      const wayMs = getWayMs(place.target);
+      const expectedMs = Choice.getExpectedMs(place, left);
+      const endWarmup = place.isWarm
+        ? () => {}
+        : warmups.start(req.objectKey, id, expectedMs);
+      req.tried.add(id);
+      loads.start(id);
+      events.after(
+        wayMs / 2,
+        () =>
+          arrive(byId.get(id)!, req, (isRun, target) => {
+            events.after(wayMs / 2, () => {
+              endWarmup();
+              finish(req, place, sentAtMs, wayMs, isRun, target);
+            });
+          }),
+      );
+    }
+
+    function finish(
+      req: ModelRequest,
+      place: Choice.Place,
+      sentAtMs: number,
+      wayMs: number,
+      isRun: boolean,
+      target: ModelTarget,
+    ): void {
+      const { id } = place.target.entry;
+      const now = events.nowMs();
+      loads.end(id, isRun ? "answered" : "shed");
+      loads.noteReport(id, {
+        running: target.running,
+        waiting: target.waiting.length,
+        slots: SLOTS,
+      });
+      if (!isRun) {
+        if (req.tried.size < MAX_TARGETS) return handle(req);
+        req.second.refused++;
+        return;
+      }
+      if (place.busy < SLOTS) {
+        timings.noteAnswer(ROUTE, place.isWarm, now - sentAtMs - wayMs);
+      }
+      warmth.note(req.objectKey, id);
+      const latencyMs = now - req.startedAtMs;
+      if (latencyMs <= TARGET_LATENCY_MS) req.second.inTime++;
+      else if (latencyMs <= DEADLINE_MS) req.second.late++;
+    }
+
+    scenario.regions.forEach(({ name }) =>
+      timings.noteConnect(name, name === region ? NEAR_MS : FAR_MS)
+    );
+    return { region, handle };
+  }
+
+  function createTargets(region: Scenario["regions"][number]): ModelTarget[] {
+    return Array.from({ length: region.targets }, (_, index) => ({
+      known: {
+        entry: {
+          id: `${region.name}-${index}`,
+          service: ROUTE,
+          address: "",
+          domain: region.name,
+          slots: SLOTS,
+          isLeaving: false,
+          coldLeftMs: 0,
+          bornAtMs: 1,
+        },
+        region: region.name,
+        coldUntilMs: 0,
+      },
+      running: 0,
+      waiting: [],
+      memory: new Map(),
+      isGone: false,
+    }));
+  }
+
+  function arrive(
+    target: ModelTarget,
+    req: ModelRequest,
+    done: (isRun: boolean, target: ModelTarget) => void,
+  ): void {
+    const { shed } = scenario;
+    const now = events.nowMs();
+    const isGrey = shed !== undefined && now >= shed.fromMs &&
+      now < shed.toMs && random() < shed.share;
+    const isFull = target.running >= SLOTS && target.waiting.length >= QUEUE;
+    if (target.isGone || isGrey || isFull) return done(false, target);
+    const run = () => {
+      target.running++;
+      const isKnown = target.memory.has(req.objectKey);
+      if (!isKnown) firstRuns++;
+      events.after(isKnown ? WARM_MS : FIRST_RUN_MS, () => {
+        target.running--;
+        remember(target, req.objectKey);
+        done(true, target);
+        target.waiting.shift()?.();
+      });
+    };
+    if (target.running < SLOTS) run();
+    else target.waiting.push(run);
+  }
+
+  function remember(target: ModelTarget, objectKey: string): void {
+    target.memory.delete(objectKey);
+    target.memory.set(objectKey, true);
+    if (target.memory.size <= MEMORY_OBJECTS) return;
+    for (const oldest of target.memory.keys()) {
+      target.memory.delete(oldest);
+      return;
+    }
+  }
+
+  function scheduleNext(): void {
+    const factor = scenario.getRateFactor?.(events.nowMs()) ?? 1;
+    const gapMs = -Math.log(1 - random()) * 1_000 /
+      (scenario.requestsPerS * factor);
+    events.after(gapMs, () => {
+      const now = events.nowMs();
+      if (now >= scenario.durationMs) return;
+      const instance = instances[Math.floor(random() * instances.length)]!;
+      const number = Math.floor(random() * scenario.objectsPerRegion);
+      const second = seconds[Math.floor(now / 1_000)]!;
+      second.asked++;
+      instance.handle({
+        objectKey: `${instance.region} ${number}`,
+        startedAtMs: now,
+        second,
+        tried: new Set(),
+      });
+      scheduleNext();
+    });
+  }
+
+  const { loss } = scenario;
+  if (loss !== undefined) {
+    events.after(loss.atMs, () => {
+      epoch++;
+      targets.filter((one) => one.known.region === loss.region)
+        .slice(0, loss.targets)
+        .forEach((one) => one.isGone = true);
+    });
+  }
+  scheduleNext();
+  events.run(scenario.durationMs + DEADLINE_MS);
+  return { seconds, firstRuns, total: addUp(seconds) };
+}
+
+/** Sum of seconds. */
+export function addUp(seconds: readonly Second[]): Second {
+  const total: Second = { asked: 0, inTime: 0, late: 0, refused: 0 };
+  for (const one of seconds) {
+    total.asked += one.asked;
+    total.inTime += one.inTime;
+    total.late += one.late;
+    total.refused += one.refused;
+  }
+  return total;
+}
--- /dev/null
+++ b/testing/model/scenarios.ts
@@ -0,0 +1,61 @@
+/** Load patterns of the users' sites, as the model plays them. */
+import type * as FleetModel from "./fleet_model.ts";
+
+/** Targets of the users' first site: two of twenty in one region. */
+const UNEVEN_REGIONS = [
+  { name: "lombardia", targets: 2, instances: 3 },
+  { name: "trentino", targets: 8, instances: 3 },
+  { name: "piemonte", targets: 10, instances: 2 },
+] as const;
+
+const COMMON = {
+  regions: UNEVEN_REGIONS,
+  objectsPerRegion: 137,
+  durationMs: 20_000,
+} as const;
+
+/** All scenarios by name. */
+export const scenarios = {
+  calm: {
+    ...COMMON,
+    name: "calm",
+    pattern: "a third of what the targets can serve; traffic starts cold",
+    requestsPerS: 300,
+  },
+  "cold-start": {
+    ...COMMON,
+    name: "cold-start",
+    pattern: "high load from the first second, when no target is warm",
+    requestsPerS: 750,
+  },
+  burst: {
+    ...COMMON,
+    name: "burst",
+    pattern: "1.7 times a high load for three seconds",
+    requestsPerS: 650,
+    getRateFactor: (atMs) => atMs >= 10_000 && atMs < 13_000 ? 1.7 : 1,
+  },
+  loss: {
+    ...COMMON,
+    name: "loss",
+    pattern: "half of a region's targets go at high load",
+    requestsPerS: 600,
+    loss: { region: "trentino", atMs: 10_000, targets: 4 },
+  },
+  "random-shed": {
+    ...COMMON,
+    name: "random-shed",
+    pattern: "all targets turn away more than half of the requests",
+    requestsPerS: 400,
+    shed: { fromMs: 8_000, toMs: 14_000, share: 0.55 },
+  },
+  overload: {
+    ...COMMON,
+    name: "overload",
+    pattern: "a fifth more than the targets can serve, lasting",
+    requestsPerS: 1_500,
+  },
+} as const satisfies Readonly<Record<string, FleetModel.Scenario>>;
+
+/** Name of a scenario. */
+export type ScenarioName = keyof typeof scenarios;
