--- a/src/forward/headers.ts
+++ b/src/forward/headers.ts
@@ -6,7 +6,8 @@
 /** Raw headers as pairs, order and repetition kept. */
 export type HeaderPairs = readonly (readonly [string, string])[];
 
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
+/** Headers that concern one connection only. */
+export const HOP_BY_HOP: ReadonlySet<string> = new Set([
   "connection",
   "keep-alive",
   "proxy-authenticate",
--- /dev/null
+++ b/src/gateway/flight.ts
@@ -0,0 +1,66 @@
+/** A request on its way through the gateway, and what the request path needs. */
+import type * as Http from "node:http";
+import type * as Clock from "../clock.ts";
+import type * as ProductContracts from "../contracts.ts";
+import type * as Types from "../types.ts";
+import type * as Attempt from "./attempt.ts";
+import type * as ColdStart from "./cold_start.ts";
+import type * as Placement from "./placement.ts";
+import type * as Quota from "./quota.ts";
+import type * as RequestLog from "./request_log.ts";
+import type * as Split from "./split.ts";
+import type * as StateModule from "./state.ts";
+import type * as TargetLoad from "./target_load.ts";
+import type * as Timings from "./timings.ts";
+import type * as GatewayTypes from "./types.ts";
+import type * as Warmup from "./warmup.ts";
+import type * as Warmth from "./warmth.ts";
+
+/** What the request path needs. */
+export interface ForwarderDeps {
+  readonly state: StateModule.State;
+  readonly dialect: GatewayTypes.HeaderDialect;
+  readonly attempts: Attempt.Attempts;
+  readonly placement: Placement.Placement;
+  readonly loads: TargetLoad.TargetLoads;
+  readonly coldStarts: ColdStart.ColdStarts;
+  readonly timings: Timings.Timings;
+  readonly warmth: Warmth.Warmth;
+  readonly warmups: Warmup.Warmups;
+  readonly quota: Quota.Quota;
+  readonly splits: Split.Splits;
+  readonly retries: ProductContracts.RetryBudget;
+  readonly poison: ProductContracts.Poison;
+  readonly metrics: ProductContracts.Metrics;
+  readonly log: RequestLog.RequestLog;
+  readonly clock: Clock.Clock;
+  /** Requests a second that a cold target of the service may get, from all instances. */
+  readonly getColdRate: (service: Types.Service) => number;
+}
+
+/** A request on its way. */
+export interface Flight {
+  readonly req: Http.IncomingMessage;
+  readonly res: Http.ServerResponse;
+  readonly fields: GatewayTypes.CallerFields;
+  readonly route: GatewayTypes.Route;
+  readonly account: GatewayTypes.AccountSpec | undefined;
+  readonly version: number;
+  readonly startedAtMs: number;
+  /** Monotonic ms at which the answer must leave. */
+  readonly endsAtMs: number;
+  readonly body: Buffer | undefined;
+  readonly service: Types.Service;
+  readonly objectKey: string;
+  readonly fingerprint: string;
+  readonly signal: AbortSignal;
+  readonly tried: Set<Types.TargetId>;
+  /** A target may have run it. */
+  mayHaveRun: boolean;
+  sends: number;
+}
+
+/** Rank of urgency; 0 is the most urgent. */
+export function getPriority({ account, route }: Flight): number {
+  return account?.priority ?? route.priority;
+}
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -5,31 +5,19 @@
  */
 import * as Crypto from "node:crypto";
 import type * as Http from "node:http";
-import type * as Clock from "../clock.ts";
-import type * as ProductContracts from "../contracts.ts";
 import type * as Types from "../types.ts";
 import type * as Attempt from "./attempt.ts";
 import * as Body from "./body.ts";
-import * as Candidates from "./candidates.ts";
 import * as Choice from "./choice.ts";
-import type * as ColdStart from "./cold_start.ts";
+import * as Flight from "./flight.ts";
 import * as Placement from "./placement.ts";
-import type * as Quota from "./quota.ts";
 import * as Reply from "./reply.ts";
-import type * as RequestLog from "./request_log.ts";
 import * as Routes from "./routes.ts";
-import type * as Split from "./split.ts";
-import type * as StateModule from "./state.ts";
-import type * as TargetLoad from "./target_load.ts";
-import type * as Timings from "./timings.ts";
+import * as Sender from "./sender.ts";
 import type * as GatewayTypes from "./types.ts";
-import type * as Warmup from "./warmup.ts";
-import type * as Warmth from "./warmth.ts";
 
 /** Time that the answer needs from here to the caller. */
 const WAY_BACK_MS = 15;
-/** Callers that name no deadline are given the route's time-out. */
-const MIN_SEND_MS = 20;
 /** Connections that could not be made cost no target anything; still, time runs. */
 const MAX_UNREACHABLE = 4;
 /** A caller that was turned away comes back after the target's queue, and not sooner than this. */
@@ -39,50 +27,6 @@
 const RETRY_PART_STEP = 0.25;
 const MIN_RETRY_PART = 0.3;
 
-/** What the request path needs. */
-export interface ForwarderDeps {
-  readonly state: StateModule.State;
-  readonly dialect: GatewayTypes.HeaderDialect;
-  readonly attempts: Attempt.Attempts;
-  readonly placement: Placement.Placement;
-  readonly loads: TargetLoad.TargetLoads;
-  readonly coldStarts: ColdStart.ColdStarts;
-  readonly timings: Timings.Timings;
-  readonly warmth: Warmth.Warmth;
-  readonly warmups: Warmup.Warmups;
-  readonly quota: Quota.Quota;
-  readonly splits: Split.Splits;
-  readonly retries: ProductContracts.RetryBudget;
-  readonly poison: ProductContracts.Poison;
-  readonly metrics: ProductContracts.Metrics;
-  readonly log: RequestLog.RequestLog;
-  readonly clock: Clock.Clock;
-  /** Requests a second that a cold target of the service may get, from all instances. */
-  readonly getColdRate: (service: Types.Service) => number;
-}
-
-/** A request on its way. */
-interface Flight {
-  readonly req: Http.IncomingMessage;
-  readonly res: Http.ServerResponse;
-  readonly fields: GatewayTypes.CallerFields;
-  readonly route: GatewayTypes.Route;
-  readonly account: GatewayTypes.AccountSpec | undefined;
-  readonly version: number;
-  readonly startedAtMs: number;
-  /** Monotonic ms at which the answer must leave. */
-  readonly endsAtMs: number;
-  readonly body: Buffer | undefined;
-  readonly service: Types.Service;
-  readonly objectKey: string;
-  readonly fingerprint: string;
-  readonly signal: AbortSignal;
-  readonly tried: Set<Types.TargetId>;
-  /** A target may have run it. */
-  mayHaveRun: boolean;
-  sends: number;
-}
-
 /** Handles callers' requests. */
 export type Handler = (
   req: Http.IncomingMessage,
@@ -90,8 +34,9 @@
 ) => Promise<void>;
 
 /** Creates the request path. */
-export function createForwarder(deps: ForwarderDeps): Handler {
+export function createForwarder(deps: Flight.ForwarderDeps): Handler {
   const { clock, state } = deps;
+  const sender = Sender.createSender(deps);
 
   function finish(
     flight: {
@@ -117,60 +62,8 @@
     deps.metrics.count(`refused.${refusal.code}`);
   }
 
-  function getPlaces(flight: Flight): readonly Choice.Place[] {
-    const { route } = flight;
-    const allowed = Candidates.getAllowed(
-      state,
-      flight.service,
-      route,
-      flight.account,
-    );
-    const ranked = deps.placement.rank(
-      allowed.scope,
-      flight.objectKey,
-      state.getMembershipEpoch(),
-      allowed.targets,
-    );
-    const now = clock.nowMs();
-    const coldRate = deps.getColdRate(flight.service);
-    const places: Choice.Place[] = [];
-    ranked.forEach((target, rank) => {
-      const { id } = target.entry;
-      if (flight.tried.has(id)) return;
-      const isCold = target.coldUntilMs > now;
-      places.push({
-        target,
-        rank,
-        isPaused: deps.loads.isPaused(id),
-        isColdFull: isCold && !deps.coldStarts.mayStart(id, coldRate),
-        busy: deps.loads.getBusy(id),
-        shedShare: deps.loads.getShedShare(id),
-        roundTripMs: deps.timings.getRoundTripMs(target.region),
-        isWarm: deps.warmth.isWarm(flight.objectKey, id),
-        warmingMs: deps.warmups.tryGetRemainingMs(flight.objectKey, id),
-      });
-    });
-    return places;
-  }
-
-  function getDemand(flight: Flight): Choice.Demand {
-    const { endsAtMs, route, startedAtMs } = flight;
-    const now = clock.nowMs();
-    const { name, targetLatencyMs } = route;
-    const guessMs = targetLatencyMs / 3;
-    return {
-      inTimeMs: startedAtMs + targetLatencyMs - now,
-      deadlineMs: endsAtMs - now - MIN_SEND_MS,
-      targetLatencyMs,
-      priority: getPriority(flight),
-      warmMs: deps.timings.getServiceMs(name, true, guessMs),
-      // What was never measured is no reason to refuse.
-      firstRunMs: deps.timings.getServiceMs(name, false, guessMs),
-    };
-  }
-
   function sendAnswer(
-    flight: Flight,
+    flight: Flight.Flight,
     place: Choice.Place,
     result: Attempt.AttemptResult & { kind: "answer" },
   ): void {
@@ -208,93 +101,9 @@
     });
   }
 
-  /** Sends to one place and settles the accounts of its target. */
-  async function send(
-    flight: Flight,
-    place: Choice.Place,
-  ): Promise<Attempt.AttemptResult> {
-    const { target } = place;
-    const { id } = target.entry;
-    const sentAtMs = clock.nowMs();
-    const leftMs = flight.endsAtMs - sentAtMs - place.roundTripMs / 2;
-    flight.tried.add(id);
-    deps.loads.start(id);
-    if (target.coldUntilMs > sentAtMs) deps.coldStarts.noteStart(id);
-    const result = await deps.attempts.make({
-      address: target.entry.address,
-      region: target.region,
-      request: {
-        method: flight.req.method ?? "GET",
-        path: flight.req.url ?? "/",
-        headers: deps.dialect.formatForTarget(flight.req.rawHeaders, {
-          targetId: id,
-          account: flight.account?.name,
-          deadlineMs: Math.max(1, Math.floor(leftMs)),
-        }),
-        body: flight.body,
-      },
-      requestId: flight.fields.requestId,
-      isRepeatable: flight.route.isRepeatable,
-      roundTripMs: place.roundTripMs,
-      signal: flight.signal,
-    });
-    settle(flight, place, sentAtMs, result);
-    return result;
-  }
-
-  function settle(
-    flight: Flight,
-    place: Choice.Place,
-    sentAtMs: number,
-    result: Attempt.AttemptResult,
-  ): void {
-    const { id } = place.target.entry;
-    switch (result.kind) {
-      case "answer": {
-        // Measured anew: before the first connection the way was a guess.
-        const wayMs = deps.timings.getRoundTripMs(place.target.region);
-        const ms = Math.max(1, clock.nowMs() - sentAtMs - wayMs);
-        const isFailure = result.answer.status >= 500;
-        deps.loads.end(id, "answered");
-        if (result.fields.load !== undefined) {
-          deps.loads.noteReport(id, result.fields.load);
-        }
-        if (!isFailure) {
-          const isWarm = deps.warmth.isWarm(flight.objectKey, id);
-          // Time in a queue is no time at work.
-          const hadSlot = place.busy < place.target.entry.slots;
-          if (hadSlot) deps.timings.noteAnswer(flight.route.name, isWarm, ms);
-          deps.warmth.note(flight.objectKey, id);
-          deps.poison.reportAnswered(flight.fingerprint);
-        }
-        return;
-      }
-      case "not-run":
-        deps.loads.end(id, result.isOtherTarget ? "unreachable" : "shed");
-        if (result.fields.load !== undefined) {
-          deps.loads.noteReport(id, result.fields.load);
-        }
-        return;
-      case "unreachable":
-        return deps.loads.end(id, "unreachable");
-      case "broke":
-        flight.mayHaveRun = true;
-        deps.loads.end(id, "broke");
-        if (result.wasReset) {
-          deps.poison.reportBreak(flight.fingerprint, id, sentAtMs);
-        }
-        return;
-      case "aborted": {
-        if (result.isSent) flight.mayHaveRun = true;
-        const isLate = clock.nowMs() >= flight.endsAtMs - 1;
-        return deps.loads.end(id, isLate ? "broke" : "cancelled");
-      }
-    }
-  }
-
   /** True when the request may be sent to another target after this result. */
   function maySendAgain(
-    flight: Flight,
+    flight: Flight.Flight,
     result: Attempt.AttemptResult,
   ): boolean {
     const { maxTargets, isRepeatable } = flight.route;
@@ -308,18 +117,14 @@
   }
 
   /** The most urgent requests may use the whole budget of second sends. */
-  function tryRetry(flight: Flight): boolean {
-    const priority = getPriority(flight);
+  function tryRetry(flight: Flight.Flight): boolean {
+    const priority = Flight.getPriority(flight);
     const part = Math.max(1 - priority * RETRY_PART_STEP, MIN_RETRY_PART);
     return deps.retries.tryRetry(flight.service, part);
   }
 
-  function getPriority({ account, route }: Flight): number {
-    return account?.priority ?? route.priority;
-  }
-
   function end(
-    flight: Flight,
+    flight: Flight.Flight,
     refusal: Reply.Refusal,
     reason: string,
     target?: Types.TargetId,
@@ -343,11 +148,11 @@
     });
   }
 
-  async function run(flight: Flight): Promise<void> {
+  async function run(flight: Flight.Flight): Promise<void> {
     for (;;) {
       if (flight.signal.aborted) return endAborted(flight, undefined);
-      const demand = getDemand(flight);
-      const choice = Choice.choose(getPlaces(flight), demand);
+      const demand = sender.getDemand(flight);
+      const choice = Choice.choose(sender.getPlaces(flight), demand);
       if (choice.kind === "refuse") {
         const code = choice.reason === "full" ? "queueFull" : "noTarget";
         const refusal = Reply.refuse(code, "not-run", choice.retryAfterMs);
@@ -360,13 +165,7 @@
         await deps.warmups.wait(objectKey, id, choice.maxMs, signal);
         continue;
       }
-      const expectedMs = Choice.getExpectedMs(place, demand);
-      const endWarmup = place.isWarm
-        ? undefined
-        : deps.warmups.start(flight.objectKey, id, expectedMs);
-      const result = await send(flight, place);
-      endWarmup?.();
-      if (result.kind !== "unreachable") flight.sends++;
+      const result = await sender.send(flight, place, demand);
       if (result.kind === "aborted") return endAborted(flight, id);
       if (result.kind === "answer") {
         const mayRepeat = result.answer.status >= 500 &&
@@ -392,7 +191,10 @@
     }
   }
 
-  function endAborted(flight: Flight, id: Types.TargetId | undefined): void {
+  function endAborted(
+    flight: Flight.Flight,
+    id: Types.TargetId | undefined,
+  ): void {
     if (flight.res.destroyed) {
       deps.log.write("caller-left", {
         id: flight.fields.requestId,
--- /dev/null
+++ b/tests/platform/main_test.ts
@@ -0,0 +1,71 @@
+import * as ChildProcess from "node:child_process";
+import * as Fs from "node:fs/promises";
+import * as Net from "node:net";
+import * as Os from "node:os";
+import * as Path from "node:path";
+import { afterEach, describe, expect, it } from "vitest";
+import * as KvStore from "../../testing/kv/kv_store.ts";
+
+const MAIN = "dist/platform/main.js";
+
+/** Runs the program until it ends. */
+async function run(
+  settings: string,
+): Promise<{ readonly code: number | null; readonly output: string }> {
+  const dir = await Fs.mkdtemp(Path.join(Os.tmpdir(), "anvilroute-"));
+  const path = Path.join(dir, "node.json");
+  await Fs.writeFile(path, settings);
+  const child = ChildProcess.spawn(process.execPath, [MAIN], {
+    env: { ...process.env, ANVILROUTE_CONFIG: path },
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  let output = "";
+  child.stdout.on("data", (chunk) => output += String(chunk));
+  child.stderr.on("data", (chunk) => output += String(chunk));
+  const code = await new Promise<number | null>((done) =>
+    child.once("exit", done)
+  );
+  await Fs.rm(dir, { recursive: true });
+  return { code, output };
+}
+
+describe("the program on the platform", () => {
+  const closers: (() => Promise<unknown> | void)[] = [];
+  afterEach(async () => {
+    for (const close of closers.splice(0)) await close();
+  });
+
+  it("ends with code 2 and says what is wrong with the settings", async () => {
+    const { code, output } = await run('{"self": {"zone": 7}}');
+    expect(code).toBe(2);
+    expect(output.trim().split("\n")).toHaveLength(1);
+    expect(output).toContain("self.zone = 7");
+  });
+
+  // Guards against a process that runs on without a listener, and is never restarted.
+  it("ends with code 1 when an address is taken", async () => {
+    const kv = await KvStore.startKvStore();
+    const taken = Net.createServer();
+    await new Promise<void>((done) => taken.listen(0, "127.0.0.1", done));
+    closers.push(kv.close, () => void taken.close());
+    const { port } = taken.address() as Net.AddressInfo;
+    const address = `127.0.0.1:${port}`;
+    const { code, output } = await run(JSON.stringify({
+      self: {
+        nodeName: "front-a-1",
+        bindIp: "127.0.0.1",
+        zone: "north-a",
+        region: "north",
+      },
+      network: {
+        listen: { front: address, ready: address, directory: address },
+        internalPorts: [0, 0],
+        zones: { "north-a": "north" },
+      },
+      platform: { platform: { address: kv.address } },
+      terms: { bounds: {} },
+    }));
+    expect(output).toContain("event=start-failed");
+    expect(code).toBe(1);
+  });
+});
