--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -9,7 +9,7 @@
 import type * as Attempt from "./attempt.ts";
 import * as Body from "./body.ts";
 import * as Choice from "./choice.ts";
-import * as Flight from "./flight.ts";
+import * as PendingRequest from "./pending_request.ts";
 import * as Placement from "./placement.ts";
 import * as Reply from "./reply.ts";
 import * as Routes from "./routes.ts";
@@ -27,6 +27,9 @@
 const RETRY_PART_STEP = 0.25;
 const MIN_RETRY_PART = 0.3;
 
+/** Another instance is likely to know the configuration; one that has just started learns it in about this time. */
+const CONFIG_RETRY_MS = 300;
+
 /** Handles callers' requests. */
 export type Handler = (
   req: Http.IncomingMessage,
@@ -34,12 +37,12 @@
 ) => Promise<void>;
 
 /** Creates the request path. */
-export function createForwarder(deps: Flight.ForwarderDeps): Handler {
+export function createForwarder(deps: PendingRequest.ForwarderDeps): Handler {
   const { clock, state } = deps;
   const sender = Sender.createSender(deps);
 
   function finish(
-    flight: {
+    pending: {
       readonly res: Http.ServerResponse;
       readonly fields: GatewayTypes.CallerFields;
       readonly startedAtMs: number;
@@ -47,29 +50,29 @@
     refusal: Reply.Refusal,
     more: Readonly<Record<string, string | number | undefined>>,
   ): void {
-    Reply.sendRefusal(flight.res, refusal);
+    Reply.sendRefusal(pending.res, refusal);
     deps.log.write("refused", {
-      id: flight.fields.requestId,
+      id: pending.fields.requestId,
       code: refusal.code,
       status: refusal.status,
       outcome: refusal.outcome,
       retryAfterMs: refusal.retryAfterMs === undefined
         ? undefined
         : Math.round(refusal.retryAfterMs),
-      ms: Math.round(clock.nowMs() - flight.startedAtMs),
+      ms: Math.round(clock.nowMs() - pending.startedAtMs),
       ...more,
     });
     deps.metrics.count(`refused.${refusal.code}`);
   }
 
   function sendAnswer(
-    flight: Flight.Flight,
+    pending: PendingRequest.PendingRequest,
     place: Choice.Place,
     result: Attempt.AttemptResult & { kind: "answer" },
   ): void {
     const { answer } = result;
-    const { res } = flight;
-    const ms = clock.nowMs() - flight.startedAtMs;
+    const { res } = pending;
+    const ms = clock.nowMs() - pending.startedAtMs;
     if (!res.headersSent && !res.destroyed) {
       const headers = deps.dialect.formatForCaller(answer.headers);
       headers.push("content-length", String(answer.body.length));
@@ -77,23 +80,23 @@
       res.end(answer.body);
     }
     deps.log.write("answered", {
-      id: flight.fields.requestId,
-      route: flight.route.name,
-      account: flight.account?.name,
-      object: flight.fields.objectKey,
-      config: flight.version,
+      id: pending.fields.requestId,
+      route: pending.route.name,
+      account: pending.account?.name,
+      object: pending.fields.objectKey,
+      config: pending.version,
       target: place.target.entry.id,
       rank: place.rank,
       busy: place.busy,
       rtt: Math.round(place.roundTripMs),
       isWarm: place.isWarm,
-      sends: flight.sends,
+      sends: pending.sends,
       status: answer.status,
       ms: Math.round(ms),
     });
     deps.metrics.record({
-      service: flight.service,
-      account: flight.account?.name ?? "public",
+      service: pending.service,
+      account: pending.account?.name ?? "public",
       status: answer.status,
       codeNumber: 0,
       outcome: "answered",
@@ -103,83 +106,84 @@
 
   /** True when the request may be sent to another target after this result. */
   function maySendAgain(
-    flight: Flight.Flight,
+    pending: PendingRequest.PendingRequest,
     result: Attempt.AttemptResult,
   ): boolean {
-    const { maxTargets, isRepeatable } = flight.route;
+    const { maxTargets, isRepeatable } = pending.route;
     if (result.kind === "unreachable") {
-      return flight.tried.size <= MAX_UNREACHABLE;
+      return pending.tried.size <= MAX_UNREACHABLE;
     }
-    if (flight.sends >= maxTargets) return false;
+    if (pending.sends >= maxTargets) return false;
     const isSafe = result.kind === "not-run" ||
       (result.kind === "broke" && isRepeatable);
-    return isSafe && tryRetry(flight);
+    return isSafe && tryRetry(pending);
   }
 
   /** The most urgent requests may use the whole budget of second sends. */
-  function tryRetry(flight: Flight.Flight): boolean {
-    const priority = Flight.getPriority(flight);
+  function tryRetry(pending: PendingRequest.PendingRequest): boolean {
+    const priority = PendingRequest.getPriority(pending);
     const part = Math.max(1 - priority * RETRY_PART_STEP, MIN_RETRY_PART);
-    return deps.retries.tryRetry(flight.service, part);
+    return deps.retries.tryRetry(pending.service, part);
   }
 
   function end(
-    flight: Flight.Flight,
+    pending: PendingRequest.PendingRequest,
     refusal: Reply.Refusal,
     reason: string,
     target?: Types.TargetId,
   ): void {
     // A refusal must not promise what a send may have broken.
     const isPromise = refusal.status === 503 || refusal.status === 429;
-    const truthful = isPromise && flight.mayHaveRun
+    const truthful = isPromise && pending.mayHaveRun
       ? Reply.refuse("targetBroke", "unknown")
       : refusal;
-    if (flight.account !== undefined && !flight.mayHaveRun) {
-      deps.quota.giveBack(flight.account.name);
+    if (pending.account !== undefined && !pending.mayHaveRun) {
+      deps.quota.giveBack(pending.account.name);
     }
-    finish(flight, truthful, {
-      route: flight.route.name,
-      account: flight.account?.name,
-      object: flight.fields.objectKey,
-      config: flight.version,
+    finish(pending, truthful, {
+      route: pending.route.name,
+      account: pending.account?.name,
+      object: pending.fields.objectKey,
+      config: pending.version,
       target,
-      sends: flight.sends,
+      sends: pending.sends,
       reason,
     });
   }
 
-  async function run(flight: Flight.Flight): Promise<void> {
+  async function run(pending: PendingRequest.PendingRequest): Promise<void> {
     for (;;) {
-      if (flight.signal.aborted) return endAborted(flight, undefined);
-      const demand = sender.getDemand(flight);
-      const choice = Choice.choose(sender.getPlaces(flight), demand);
+      if (pending.signal.aborted) return endAborted(pending, undefined);
+      const demand = sender.getDemand(pending);
+      const choice = Choice.choose(sender.getPlaces(pending), demand);
       if (choice.kind === "refuse") {
         const code = choice.reason === "full" ? "queueFull" : "noTarget";
         const refusal = Reply.refuse(code, "not-run", choice.retryAfterMs);
-        return end(flight, refusal, choice.reason);
+        return end(pending, refusal, choice.reason);
       }
       const { place } = choice;
       const { id } = place.target.entry;
       if (choice.kind === "wait") {
-        const { objectKey, signal } = flight;
+        const { objectKey, signal } = pending;
         await deps.warmups.wait(objectKey, id, choice.maxMs, signal);
         continue;
       }
-      const result = await sender.send(flight, place, demand);
-      if (result.kind === "aborted") return endAborted(flight, id);
+      const result = await sender.send(pending, place, demand);
+      if (result.kind === "aborted") return endAborted(pending, id);
       if (result.kind === "answer") {
         const mayRepeat = result.answer.status >= 500 &&
-          flight.route.isRepeatable && flight.sends < flight.route.maxTargets &&
-          tryRetry(flight);
-        if (!mayRepeat) return sendAnswer(flight, place, result);
+          pending.route.isRepeatable &&
+          pending.sends < pending.route.maxTargets &&
+          tryRetry(pending);
+        if (!mayRepeat) return sendAnswer(pending, place, result);
         // A target's own failure counts as run.
-        flight.mayHaveRun = true;
+        pending.mayHaveRun = true;
         continue;
       }
-      if (maySendAgain(flight, result)) continue;
+      if (maySendAgain(pending, result)) continue;
       if (result.kind === "broke") {
         const refusal = Reply.refuse("targetBroke", "unknown");
-        return end(flight, refusal, result.reason, id);
+        return end(pending, refusal, result.reason, id);
       }
       const waitMs = Choice.getWaitMs(place, demand);
       const refusal = Reply.refuse(
@@ -187,26 +191,26 @@
         "not-run",
         Math.min(Math.max(waitMs, MIN_SHED_RETRY_MS), MAX_SHED_RETRY_MS),
       );
-      return end(flight, refusal, result.kind, id);
+      return end(pending, refusal, result.kind, id);
     }
   }
 
   function endAborted(
-    flight: Flight.Flight,
+    pending: PendingRequest.PendingRequest,
     id: Types.TargetId | undefined,
   ): void {
-    if (flight.res.destroyed) {
+    if (pending.res.destroyed) {
       deps.log.write("caller-left", {
-        id: flight.fields.requestId,
+        id: pending.fields.requestId,
         target: id,
-        ms: Math.round(clock.nowMs() - flight.startedAtMs),
+        ms: Math.round(clock.nowMs() - pending.startedAtMs),
       });
       return;
     }
-    const refusal = flight.mayHaveRun
+    const refusal = pending.mayHaveRun
       ? Reply.refuse("deadlinePassed", "unknown")
       : Reply.refuse("queueFull", "not-run");
-    end(flight, refusal, "time is over", id);
+    end(pending, refusal, "time is over", id);
   }
 
   function makeFingerprint(
@@ -228,7 +232,11 @@
     const known = { res, fields, startedAtMs };
     const config = state.getConfig();
     if (config === undefined) {
-      const refusal = Reply.refuse("configUnknown", "not-run", 300);
+      const refusal = Reply.refuse(
+        "configUnknown",
+        "not-run",
+        CONFIG_RETRY_MS,
+      );
       return finish(known, refusal, {});
     }
     const route = Routes.tryFindRoute(config, req.headers.host, req.url ?? "/");
--- a/src/gateway/flight.ts
+++ b/src/gateway/pending_request.ts
@@ -39,7 +39,7 @@
 }
 
 /** A request on its way. */
-export interface Flight {
+export interface PendingRequest {
   readonly req: Http.IncomingMessage;
   readonly res: Http.ServerResponse;
   readonly fields: GatewayTypes.CallerFields;
@@ -61,6 +61,6 @@
 }
 
 /** Rank of urgency; 0 is the most urgent. */
-export function getPriority({ account, route }: Flight): number {
+export function getPriority({ account, route }: PendingRequest): number {
   return account?.priority ?? route.priority;
 }
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -2,7 +2,7 @@
 import type * as Attempt from "./attempt.ts";
 import * as Candidates from "./candidates.ts";
 import * as Choice from "./choice.ts";
-import * as Flight from "./flight.ts";
+import * as PendingRequest from "./pending_request.ts";
 
 /** An answer this close to the deadline is no answer any more, ms. */
 const MIN_SEND_MS = 20;
@@ -10,40 +10,42 @@
 /** The places of a request, and sends to them. */
 export interface Sender {
   /** The places that were not tried yet, best first. */
-  getPlaces(flight: Flight.Flight): readonly Choice.Place[];
+  getPlaces(pending: PendingRequest.PendingRequest): readonly Choice.Place[];
   /** What is known of the request, for the choice of a place. */
-  getDemand(flight: Flight.Flight): Choice.Demand;
+  getDemand(pending: PendingRequest.PendingRequest): Choice.Demand;
   send(
-    flight: Flight.Flight,
+    pending: PendingRequest.PendingRequest,
     place: Choice.Place,
     demand: Choice.Demand,
   ): Promise<Attempt.AttemptResult>;
 }
 
 /** Creates the sender. */
-export function createSender(deps: Flight.ForwarderDeps): Sender {
+export function createSender(deps: PendingRequest.ForwarderDeps): Sender {
   const { clock, state } = deps;
 
-  function getPlaces(flight: Flight.Flight): readonly Choice.Place[] {
-    const { route } = flight;
+  function getPlaces(
+    pending: PendingRequest.PendingRequest,
+  ): readonly Choice.Place[] {
+    const { route } = pending;
     const allowed = Candidates.getAllowed(
       state,
-      flight.service,
+      pending.service,
       route,
-      flight.account,
+      pending.account,
     );
     const ranked = deps.placement.rank(
       allowed.scope,
-      flight.objectKey,
+      pending.objectKey,
       state.getMembershipEpoch(),
       allowed.targets,
     );
     const now = clock.nowMs();
-    const coldRate = deps.getColdRate(flight.service);
+    const coldRate = deps.getColdRate(pending.service);
     const places: Choice.Place[] = [];
     ranked.forEach((target, rank) => {
       const { id } = target.entry;
-      if (flight.tried.has(id)) return;
+      if (pending.tried.has(id)) return;
       const isCold = target.coldUntilMs > now;
       places.push({
         target,
@@ -53,15 +55,15 @@
         busy: deps.loads.getBusy(id),
         shedShare: deps.loads.getShedShare(id),
         roundTripMs: deps.timings.getRoundTripMs(target.region),
-        isWarm: deps.warmth.isWarm(flight.objectKey, id),
-        warmingMs: deps.warmups.tryGetRemainingMs(flight.objectKey, id),
+        isWarm: deps.warmth.isWarm(pending.objectKey, id),
+        warmingMs: deps.warmups.tryGetRemainingMs(pending.objectKey, id),
       });
     });
     return places;
   }
 
-  function getDemand(flight: Flight.Flight): Choice.Demand {
-    const { endsAtMs, route, startedAtMs } = flight;
+  function getDemand(pending: PendingRequest.PendingRequest): Choice.Demand {
+    const { endsAtMs, route, startedAtMs } = pending;
     const now = clock.nowMs();
     const { name, targetLatencyMs } = route;
     const guessMs = targetLatencyMs / 3;
@@ -69,7 +71,7 @@
       inTimeMs: startedAtMs + targetLatencyMs - now,
       deadlineMs: endsAtMs - now - MIN_SEND_MS,
       targetLatencyMs,
-      priority: Flight.getPriority(flight),
+      priority: PendingRequest.getPriority(pending),
       warmMs: deps.timings.getServiceMs(name, true, guessMs),
       // What was never measured is no reason to refuse.
       firstRunMs: deps.timings.getServiceMs(name, false, guessMs),
@@ -78,40 +80,40 @@
 
   /** Sends to one place and settles the accounts of its target. */
   async function send(
-    flight: Flight.Flight,
+    pending: PendingRequest.PendingRequest,
     place: Choice.Place,
   ): Promise<Attempt.AttemptResult> {
     const { target } = place;
     const { id } = target.entry;
     const sentAtMs = clock.nowMs();
-    const leftMs = flight.endsAtMs - sentAtMs - place.roundTripMs / 2;
-    flight.tried.add(id);
+    const leftMs = pending.endsAtMs - sentAtMs - place.roundTripMs / 2;
+    pending.tried.add(id);
     deps.loads.start(id);
     if (target.coldUntilMs > sentAtMs) deps.coldStarts.noteStart(id);
     const result = await deps.attempts.make({
       address: target.entry.address,
       region: target.region,
       request: {
-        method: flight.req.method ?? "GET",
-        path: flight.req.url ?? "/",
-        headers: deps.dialect.formatForTarget(flight.req.rawHeaders, {
+        method: pending.req.method ?? "GET",
+        path: pending.req.url ?? "/",
+        headers: deps.dialect.formatForTarget(pending.req.rawHeaders, {
           targetId: id,
-          account: flight.account?.name,
+          account: pending.account?.name,
           deadlineMs: Math.max(1, Math.floor(leftMs)),
         }),
-        body: flight.body,
+        body: pending.body,
       },
-      requestId: flight.fields.requestId,
-      isRepeatable: flight.route.isRepeatable,
+      requestId: pending.fields.requestId,
+      isRepeatable: pending.route.isRepeatable,
       roundTripMs: place.roundTripMs,
-      signal: flight.signal,
+      signal: pending.signal,
     });
-    settle(flight, place, sentAtMs, result);
+    settle(pending, place, sentAtMs, result);
     return result;
   }
 
   function settle(
-    flight: Flight.Flight,
+    pending: PendingRequest.PendingRequest,
     place: Choice.Place,
     sentAtMs: number,
     result: Attempt.AttemptResult,
@@ -128,12 +130,12 @@
           deps.loads.noteReport(id, result.fields.load);
         }
         if (!isFailure) {
-          const isWarm = deps.warmth.isWarm(flight.objectKey, id);
+          const isWarm = deps.warmth.isWarm(pending.objectKey, id);
           // Time in a queue is no time at work.
           const hadSlot = place.busy < place.target.entry.slots;
-          if (hadSlot) deps.timings.noteAnswer(flight.route.name, isWarm, ms);
-          deps.warmth.note(flight.objectKey, id);
-          deps.poison.reportAnswered(flight.fingerprint);
+          if (hadSlot) deps.timings.noteAnswer(pending.route.name, isWarm, ms);
+          deps.warmth.note(pending.objectKey, id);
+          deps.poison.reportAnswered(pending.fingerprint);
         }
         return;
       }
@@ -146,15 +148,15 @@
       case "unreachable":
         return deps.loads.end(id, "unreachable");
       case "broke":
-        flight.mayHaveRun = true;
+        pending.mayHaveRun = true;
         deps.loads.end(id, "broke");
         if (result.wasReset) {
-          deps.poison.reportBreak(flight.fingerprint, id, sentAtMs);
+          deps.poison.reportBreak(pending.fingerprint, id, sentAtMs);
         }
         return;
       case "aborted": {
-        if (result.isSent) flight.mayHaveRun = true;
-        const isLate = clock.nowMs() >= flight.endsAtMs - 1;
+        if (result.isSent) pending.mayHaveRun = true;
+        const isLate = clock.nowMs() >= pending.endsAtMs - 1;
         return deps.loads.end(id, isLate ? "broke" : "cancelled");
       }
     }
@@ -163,15 +165,15 @@
   return {
     getPlaces,
     getDemand,
-    async send(flight, place, demand) {
+    async send(pending, place, demand) {
       const { id } = place.target.entry;
       const expectedMs = Choice.getExpectedMs(place, demand);
       const endWarmup = place.isWarm
         ? undefined
-        : deps.warmups.start(flight.objectKey, id, expectedMs);
-      const result = await send(flight, place);
+        : deps.warmups.start(pending.objectKey, id, expectedMs);
+      const result = await send(pending, place);
       endWarmup?.();
-      if (result.kind !== "unreachable") flight.sends++;
+      if (result.kind !== "unreachable") pending.sends++;
       return result;
     },
   };
