--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -107,6 +107,7 @@
   const membership = Membership.createMembership({
     self: instance.id,
     store,
+    minLeaseMs: settings.store.minLeaseMs,
     supervisor: root.createChild("membership"),
     log,
   });
@@ -145,8 +146,9 @@
   }
 
   function getColdRate(service: Types.Service): number {
-    const spec = state.getConfig()?.services.get(service);
-    return (spec?.coldPerS ?? 0) * COLD_FACTOR;
+    const perS = state.getConfig()?.services.get(service)?.coldPerS ?? 0;
+    const mostPerS = perS * limits.coldFactor + limits.coldExtraPerS;
+    return Math.min(perS * COLD_FACTOR, mostPerS);
   }
 
   function getHeartbeat(): Types.Heartbeat {
@@ -225,6 +227,7 @@
       clock,
       fleetLimit: {
         share: limits.retryRatio * RETRY_SAFETY,
+        windowMs: limits.retryWindowMs,
         getExtra: () => limits.retryExtra * RETRY_SAFETY / getInstanceCount(),
       },
     }),
@@ -254,7 +257,9 @@
       domain,
     );
     if (addresses.length === 0) return Servers.sendJson(res, 503, {});
-    const answer = deps.directory.formatAnswer(addresses, DIRECTORY_TTL_S);
+    const maxTtlS = settings.timing.maxDirectoryTtlMs / 1_000;
+    const ttlS = Math.min(DIRECTORY_TTL_S, maxTtlS);
+    const answer = deps.directory.formatAnswer(addresses, ttlS);
     Servers.sendJson(res, 200, answer);
   }
 
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -42,6 +42,8 @@
 export function createMembership(opts: {
   readonly self: Types.InstanceId;
   readonly store: Contracts.MetadataStore;
+  /** Shortest lease that the store grants, ms. */
+  readonly minLeaseMs: number;
   readonly supervisor: Supervisor.Supervisor;
   readonly log: Log.Logger;
 }): Membership {
@@ -58,7 +60,9 @@
       log.warn("member-lease-lapsed", {});
       leaseId = undefined;
     }
-    const lease = await store.grantLease(LEASE_MS);
+    const lease = await store.grantLease(
+      Math.max(LEASE_MS, opts.minLeaseMs),
+    );
     if (lease.isErr()) return;
     const value = JSON.stringify(record);
     const put = await store.put(MEMBER_PREFIX + self, value, lease.value);
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -45,6 +45,4 @@
   readonly coldFactor: number;
   /** Requests in one second beyond that. */
   readonly coldExtraPerS: number;
-  /** Share of a region's requests that may change their region from 2 s to the next. */
-  readonly maxShift: number;
 }
--- a/src/retry/retry_budget.ts
+++ b/src/retry/retry_budget.ts
@@ -26,6 +26,8 @@
 export interface FleetLimit {
   /** Retries as a share of this instance's requests. */
   readonly share: number;
+  /** Length of the window, whole seconds in ms. */
+  readonly windowMs: number;
   /** Retries in a window beyond that share; this instance's part of the fleet's. */
   readonly getExtra: () => number;
 }
@@ -34,8 +36,12 @@
 export function createRetryBudget(
   opts: { readonly clock: Clock.Clock; readonly fleetLimit?: FleetLimit },
 ): Contracts.RetryBudget {
+  const { fleetLimit } = opts;
+  const bucketCount = fleetLimit === undefined
+    ? BUCKETS
+    : Math.max(1, Math.round(fleetLimit.windowMs / BUCKET_MS));
+
   function getAllowed(requests: number): number {
-    const { fleetLimit } = opts;
     if (fleetLimit === undefined) {
       return Math.max(requests * RETRY_SHARE, MIN_RETRIES_PER_WINDOW);
     }
@@ -52,7 +58,7 @@
     const known = services.get(service);
     if (known !== undefined) return known;
     const created = Array.from(
-      { length: BUCKETS },
+      { length: bucketCount },
       () => ({ second: -Infinity, requests: 0, retries: 0 }),
     );
     services.set(service, created);
@@ -60,7 +66,7 @@
   }
 
   function getCurrent(buckets: Bucket[], second: number): Bucket {
-    const place = second % BUCKETS;
+    const place = second % bucketCount;
     const known = buckets[place];
     if (known?.second === second) return known;
     const fresh = { second, requests: 0, retries: 0 };
@@ -71,7 +77,7 @@
   function tryRetry(service: Types.Service, part = 1): boolean {
     const second = getSecond();
     const buckets = getBuckets(service);
-    const recent = buckets.filter((each) => each.second > second - BUCKETS);
+    const recent = buckets.filter((each) => each.second > second - bucketCount);
     const requests = recent.reduce((sum, each) => sum + each.requests, 0);
     const retries = recent.reduce((sum, each) => sum + each.retries, 0);
     if (retries + 1 > getAllowed(requests) * part) return false;
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -175,7 +175,6 @@
           retryExtra: 50,
           coldFactor: 1.5,
           coldExtraPerS: 5,
-          maxShift: 0.15,
         },
         timing: {
           graceMs: 6_000,
