Assume first places warm as often as they turn out to be; run on one thread

Cause 1: an instance of a large fleet sees an object once in half a minute, and one that has restarted has seen nothing, so every place looked cold to it: it waited for first runs of warm objects and sent them elsewhere. What was not seen is now taken to be as likely warm as it turned out for other objects at places of that rank; answers are told apart by their times once a warm one is known. A detour's cost now scales with the work.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -18,6 +18,7 @@
 import * as Keys from "../keys/keys.ts";
 import type * as Log from "../log.ts";
 import * as Lookup from "../lookup/lookup.ts";
+import * as LatencyEncoding from "../metrics/latency_encoding.ts";
 import * as Metrics from "../metrics/metrics.ts";
 import * as Handover from "../once/handover.ts";
 import * as Relay from "../once/relay.ts";
@@ -139,7 +140,11 @@
     log,
     clock,
   });
-  const metrics = Metrics.createMetrics({ clock, instance: self });
+  const metrics = Metrics.createMetrics({
+    clock,
+    instance: self,
+    encodeLatency: LatencyEncoding.encodeHistogram,
+  });
   const serviceTimes = HeartbeatState.createServiceTimes();
   const queue = QueueWake.createWakingQueue(
     FairQueue.createFairQueue<Place.Placement>({
--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -25,8 +25,8 @@
   /** Share of recent requests that it turned away. */
   readonly shedShare: number;
   readonly roundTripMs: number;
-  /** It has served the object lately. */
-  readonly isWarm: boolean;
+  /** How likely it has served the object lately, 0 to 1. */
+  readonly warmChance: number;
   /** Time until the object's first run there ends, when one is on its way. */
   readonly warmingMs: number | undefined;
 }
@@ -68,7 +68,7 @@
  * of objects (about 67 on the users' sites, with 17 a target), and each further
  * place of an object pushes another one out.
  */
-const RANK_COST_MS: readonly number[] = [0, 80, 160, 300];
+const RANK_COSTS: readonly number[] = [0, 0.24, 0.48, 0.9];
 /** Part of the time in time that the most urgent requests may wait, and what each rank of urgency takes off. */
 const WAIT_PART = 1;
 const WAIT_PART_STEP = 0.15;
@@ -80,6 +80,14 @@
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
 
+/** A place that is at least as likely warm as not is treated as warm. */
+const LIKELY = 0.5;
+
+/** Whether the place is treated as one that has served the object lately. */
+export function isLikelyWarm(place: Place): boolean {
+  return place.warmChance >= LIKELY;
+}
+
 /** Time in the target's queue, as far as known. */
 export function getWaitMs(place: Place, demand: Demand): number {
   const { slots } = place.target.entry;
@@ -89,8 +97,8 @@
 
 /** Time until an answer from the place. */
 export function getExpectedMs(place: Place, demand: Demand): number {
-  const isFast = place.isWarm || place.warmingMs !== undefined;
-  const serviceMs = isFast ? demand.warmMs : demand.firstRunMs;
+  const chance = place.warmingMs === undefined ? place.warmChance : 1;
+  const serviceMs = chance * demand.warmMs + (1 - chance) * demand.firstRunMs;
   const waitMs = Math.max(getWaitMs(place, demand), place.warmingMs ?? 0);
   return place.roundTripMs + waitMs + serviceMs;
 }
@@ -98,10 +106,13 @@
 /** Expected time, and what the place costs others. */
 function getCostMs(place: Place, demand: Demand): number {
   const expectedMs = getExpectedMs(place, demand);
-  const rankMs = RANK_COST_MS[place.rank] ?? Infinity;
-  if (place.isWarm || place.warmingMs !== undefined) return expectedMs + rankMs;
+  // The object has to run at its own place for the first time anyway.
+  if (place.rank === 0) return expectedMs;
+  const extraMs = Math.max(0, demand.firstRunMs - demand.warmMs);
+  const rankMs = (RANK_COSTS[place.rank] ?? Infinity) * extraMs;
+  if (place.warmingMs !== undefined) return expectedMs + rankMs;
   const use = Math.min(1, place.busy / place.target.entry.slots);
-  return expectedMs + rankMs + use * (demand.firstRunMs - demand.warmMs);
+  return expectedMs + rankMs + use * (1 - place.warmChance) * extraMs;
 }
 
 /** Longest queue in which a request of this urgency may wait. */
@@ -116,7 +127,7 @@
 
 /** A first run away from the own place is worth it only on slots that nobody else wants. */
 function isShort(place: Place, demand: Demand): boolean {
-  const isDetour = place.rank > 0 && !place.isWarm;
+  const isDetour = place.rank > 0 && !isLikelyWarm(place);
   if (isDetour) return place.busy < place.target.entry.slots;
   return getWaitMs(place, demand) <= getMaxWaitMs(place, demand);
 }
@@ -167,9 +178,9 @@
   best: Place,
   demand: Demand,
 ): Place | undefined {
-  if (best.isWarm) return undefined;
+  if (isLikelyWarm(best)) return undefined;
   return places.find((one) =>
-    !one.isWarm && one.warmingMs !== undefined &&
+    !isLikelyWarm(one) && one.warmingMs !== undefined &&
     getExpectedMs(one, demand) <= demand.deadlineMs
   );
 }
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -90,7 +90,7 @@
       rank: place.rank,
       busy: place.busy,
       rtt: Math.round(place.roundTripMs),
-      isWarm: place.isWarm,
+      warmChance: Math.round(place.warmChance * 100) / 100,
       sends: pending.sends,
       status: answer.status,
       ms: Math.round(ms),
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -55,7 +55,9 @@
         busy: deps.loads.getBusy(id),
         shedShare: deps.loads.getShedShare(id),
         roundTripMs: deps.timings.getRoundTripMs(target.region),
-        isWarm: deps.warmth.isWarm(pending.objectKey, id),
+        warmChance: deps.warmth.isWarm(pending.objectKey, id)
+          ? 1
+          : deps.warmth.getChance(rank),
         warmingMs: deps.warmups.tryGetRemainingMs(pending.objectKey, id),
       });
     });
@@ -132,8 +134,16 @@
         if (!isFailure) {
           const isWarm = deps.warmth.isWarm(pending.objectKey, id);
           // Time in a queue is no time at work.
-          const hadSlot = place.busy < place.target.entry.slots;
-          if (hadSlot) deps.timings.noteAnswer(pending.route.name, isWarm, ms);
+          if (place.busy < place.target.entry.slots) {
+            const wasFast = deps.timings.noteAnswer(
+              pending.route.name,
+              isWarm,
+              ms,
+            );
+            if (!isWarm && wasFast !== undefined) {
+              deps.warmth.noteOutcome(place.rank, wasFast);
+            }
+          }
           deps.warmth.note(pending.objectKey, id);
           deps.poison.reportAnswered(pending.fingerprint);
         }
@@ -168,7 +178,7 @@
     async send(pending, place, demand) {
       const { id } = place.target.entry;
       const expectedMs = Choice.getExpectedMs(place, demand);
-      const endWarmup = place.isWarm
+      const endWarmup = Choice.isLikelyWarm(place)
         ? undefined
         : deps.warmups.start(pending.objectKey, id, expectedMs);
       const result = await send(pending, place);
--- a/src/gateway/timings.ts
+++ b/src/gateway/timings.ts
@@ -7,6 +7,8 @@
 const DRIFT = 1.01;
 /** A first object run takes about this many times as long as one that was served lately. */
 const FIRST_RUN_FACTOR = 3;
+/** Answers that are apart by more than this factor are of different kinds. */
+const SPLIT_FACTOR = Math.sqrt(FIRST_RUN_FACTOR);
 /** A way that was not measured yet is taken as one between regions, ms. */
 const UNKNOWN_WAY_MS = 60;
 
@@ -16,8 +18,12 @@
   noteConnect(region: Types.Region, ms: number): void;
   /** Round trip to the region. */
   getRoundTripMs(region: Types.Region): number;
-  /** A target answered `ms` after the request left, without the way. */
-  noteAnswer(route: string, isWarm: boolean, ms: number): void;
+  /**
+   * A target answered `ms` after the request left, without the way. `isWarm`: it is
+   * known that the target served the object lately; otherwise the time itself tells,
+   * as soon as there is something to compare it with. Returns whether it was fast.
+   */
+  noteAnswer(route: string, isWarm: boolean, ms: number): boolean | undefined;
   /** Mean time at a target; `isWarm`: the target served the object lately. */
   getServiceMs(
     route: string,
@@ -29,10 +35,22 @@
 /** Creates empty measurements. */
 export function createTimings(): Timings {
   const ways = new Map<Types.Region, number>();
-  const means = new Map<string, number>();
+  const routes = new Map<string, RouteTimes>();
 
-  function getKey(route: string, isWarm: boolean): string {
-    return `${route} ${isWarm ? "warm" : "first"}`;
+  function get(route: string): RouteTimes {
+    const known = routes.get(route);
+    if (known !== undefined) return known;
+    const created = { warm: undefined, first: undefined, unsorted: undefined };
+    routes.set(route, created);
+    return created;
+  }
+
+  /** After a restart nothing tells a first run from another until an object comes again. */
+  function sort(times: RouteTimes): void {
+    const { unsorted, warm } = times;
+    if (unsorted === undefined || warm === undefined) return;
+    times.unsorted = undefined;
+    if (unsorted > warm * SPLIT_FACTOR) times.first = unsorted;
   }
 
   return {
@@ -42,19 +60,42 @@
     },
     getRoundTripMs: (region) => ways.get(region) ?? UNKNOWN_WAY_MS,
     noteAnswer(route, isWarm, ms) {
-      const key = getKey(route, isWarm);
-      const known = means.get(key);
-      const next = known === undefined
-        ? ms
-        : known + MEAN_WEIGHT * (ms - known);
-      means.set(key, next);
+      const times = get(route);
+      if (isWarm) {
+        times.warm = getMean(times.warm, ms);
+        sort(times);
+        return true;
+      }
+      if (times.warm === undefined) {
+        times.unsorted = getMean(times.unsorted, ms);
+        return undefined;
+      }
+      const isFast = ms < times.warm * SPLIT_FACTOR;
+      if (isFast) times.warm = getMean(times.warm, ms);
+      else times.first = getMean(times.first, ms);
+      return isFast;
     },
     getServiceMs(route, isWarm, fallbackMs) {
-      const known = means.get(getKey(route, isWarm));
-      if (known !== undefined) return known;
-      const other = means.get(getKey(route, !isWarm));
-      if (other === undefined) return fallbackMs;
-      return isWarm ? other / FIRST_RUN_FACTOR : other * FIRST_RUN_FACTOR;
+      const { first, unsorted, warm } = get(route);
+      if (unsorted !== undefined) {
+        // Of either kind: the geometric mean bounds the error on both sides.
+        return isWarm ? unsorted / SPLIT_FACTOR : unsorted * SPLIT_FACTOR;
+      }
+      if (isWarm) return warm ?? fallbackMs;
+      return first ??
+        (warm === undefined ? fallbackMs : warm * FIRST_RUN_FACTOR);
     },
   };
 }
+
+/** Mean times at the targets of a route, ms. */
+interface RouteTimes {
+  warm: number | undefined;
+  first: number | undefined;
+  /** Of answers that were not yet told apart. */
+  unsorted: number | undefined;
+}
+
+function getMean(known: number | undefined, ms: number): number {
+  return known === undefined ? ms : known + MEAN_WEIGHT * (ms - known);
+}
--- a/src/metrics/latency.ts
+++ b/src/metrics/latency.ts
@@ -1,7 +1,6 @@
 /** Latency histograms per 5 minute window over the last hour. */
 import type * as Hdr from "hdr-histogram-js";
 // The index compiles the library's WebAssembly variant, which nobody here uses.
-import "hdr-histogram-js/dist/JsHistogram.encoding.js";
 import * as HistogramFactory from "hdr-histogram-js/dist/JsHistogramFactory.js";
 
 /** Length of a histogram's window in ms; windows are aligned to the wall clock. */
@@ -43,12 +42,11 @@
   return histogram;
 }
 
-function encodeHistogram(histogram: Hdr.Histogram): string {
-  return (histogram as Hdr.JsHistogram).encodeIntoCompressedBase64();
-}
+/** Turns a histogram into text for reports. */
+export type EncodeHistogram = (histogram: Hdr.Histogram) => string;
 
-/** Creates an empty series. */
-export function createLatency(): Latency {
+/** Creates an empty series; without `encode` it keeps no windows for reports. */
+export function createLatency(encode?: EncodeHistogram): Latency {
   let live = { number: -1, histogram: createHistogram() };
   let previous: typeof live | undefined;
   let closed: readonly EncodedLatency[] = [];
@@ -59,8 +57,8 @@
   function advance(wallMs: number): void {
     const number = Math.floor(wallMs / LATENCY_WINDOW_MS);
     if (number <= live.number) return;
-    if (live.histogram.totalCount > 0) {
-      const text = encodeHistogram(live.histogram);
+    if (live.histogram.totalCount > 0 && encode !== undefined) {
+      const text = encode(live.histogram);
       closed = [...closed, [live.number, text] as const];
     }
     const oldest = number - LATENCY_WINDOW_COUNT;
@@ -80,8 +78,10 @@
     },
     encode(wallMs) {
       advance(wallMs);
-      if (live.histogram.totalCount === 0) return closed;
-      const text = encodeHistogram(live.histogram);
+      if (live.histogram.totalCount === 0 || encode === undefined) {
+        return closed;
+      }
+      const text = encode(live.histogram);
       return [...closed, [live.number, text]];
     },
     getQuantiles(wallMs, quantiles) {
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -41,6 +41,8 @@
 export interface MetricsOptions {
   readonly clock: Clock.Clock;
   readonly instance: Types.InstanceId;
+  /** Encodes latencies for `getBurnSnapshot`; without it snapshots have none. */
+  readonly encodeLatency?: Latency.EncodeHistogram;
 }
 
 interface Series {
@@ -81,7 +83,7 @@
       service,
       account,
       windows: Windows.createWindows(),
-      latency: Latency.createLatency(),
+      latency: Latency.createLatency(opts.encodeLatency),
       totals: new Map(),
     };
     series.set(key, added);
--- a/testing/harness/gateway.ts
+++ b/testing/harness/gateway.ts
@@ -10,6 +10,12 @@
 import * as Wait from "./wait.ts";
 
 const MAIN = "target/anvilroute.cjs";
+/** As `deploy/system.toml` runs it. */
+const NODE_ARGS = [
+  "--max-old-space-size=158",
+  "--single-threaded",
+  "--v8-pool-size=0",
+];
 const READY_LIMIT_MS = 30_000;
 const KEPT_LINES = 2_000;
 const PORTS = { front: 8080, ready: 8081, directory: 8082 } as const;
@@ -76,7 +82,7 @@
   Fs.writeFileSync(path, formatSettings(opts));
   const child = ChildProcess.spawn(
     process.execPath,
-    ["--max-old-space-size=158", ...opts.nodeArgs ?? [], MAIN],
+    [...NODE_ARGS, ...opts.nodeArgs ?? [], MAIN],
     {
       env: { ...process.env, ANVILROUTE_CONFIG: path },
       stdio: ["ignore", "pipe", "inherit"],
--- a/testing/model/fleet_model.ts
+++ b/testing/model/fleet_model.ts
@@ -50,8 +50,29 @@
     readonly toMs: number;
     readonly share: number;
   };
+  /** All instances start anew at this time and know nothing. */
+  readonly restartAtMs?: number;
+  /** What differs from `SMALL_SITE`. */
+  readonly times?: Partial<Times>;
 }
 
+/** Times of the targets and of the route, ms, and what a target remembers. */
+export interface Times {
+  readonly warmMs: number;
+  readonly firstRunMs: number;
+  readonly targetLatencyMs: number;
+  readonly deadlineMs: number;
+  readonly memoryObjects: number;
+}
+
+const SMALL_SITE: Times = {
+  warmMs: 144,
+  firstRunMs: 480,
+  targetLatencyMs: 400,
+  deadlineMs: 2_500,
+  memoryObjects: 67,
+};
+
 /** Counts of one second. */
 export interface Second {
   asked: number;
@@ -69,11 +90,6 @@
 
 const SLOTS = 9;
 const QUEUE = 27;
-const MEMORY_OBJECTS = 67;
-const WARM_MS = 144;
-const FIRST_RUN_MS = 480;
-const TARGET_LATENCY_MS = 400;
-const DEADLINE_MS = 2_500;
 const FAR_MS = 110;
 const NEAR_MS = 2;
 const MAX_TARGETS = 2;
@@ -101,6 +117,10 @@
   policy: Policy,
   seed: number,
 ): Outcome {
+  const { warmMs, firstRunMs, targetLatencyMs, deadlineMs, memoryObjects } = {
+    ...SMALL_SITE,
+    ...scenario.times,
+  };
   const random = Random.createRandom(seed);
   const events = Events.createEvents();
   const clock = { nowMs: events.nowMs, wallMs: events.nowMs };
@@ -114,9 +134,11 @@
   let firstRuns = 0;
   let epoch = 0;
 
-  const instances = scenario.regions.flatMap(({ name, instances: count }) =>
-    Array.from({ length: count }, () => createInstance(name))
-  );
+  const startInstances = () =>
+    scenario.regions.flatMap(({ name, instances: count }) =>
+      Array.from({ length: count }, () => createInstance(name))
+    );
+  let instances = startInstances();
 
   function createInstance(region: string) {
     const loads = TargetLoad.createTargetLoads(clock);
@@ -141,7 +163,9 @@
           busy: loads.getBusy(id),
           shedShare: loads.getShedShare(id),
           roundTripMs: getWayMs(target),
-          isWarm: warmth.isWarm(req.objectKey, id),
+          warmChance: warmth.isWarm(req.objectKey, id)
+            ? 1
+            : warmth.getChance(rank),
           warmingMs: warmups.tryGetRemainingMs(req.objectKey, id),
         };
       }).filter((place) => !req.tried.has(place.target.entry.id));
@@ -180,12 +204,12 @@
       const now = events.nowMs();
       const elapsedMs = now - req.startedAtMs;
       const left: Choice.Demand = {
-        inTimeMs: TARGET_LATENCY_MS - elapsedMs,
-        deadlineMs: DEADLINE_MS - elapsedMs,
-        targetLatencyMs: TARGET_LATENCY_MS,
+        inTimeMs: targetLatencyMs - elapsedMs,
+        deadlineMs: deadlineMs - elapsedMs,
+        targetLatencyMs: targetLatencyMs,
         priority: 1,
-        warmMs: timings.getServiceMs(ROUTE, true, TARGET_LATENCY_MS / 3),
-        firstRunMs: timings.getServiceMs(ROUTE, false, TARGET_LATENCY_MS / 3),
+        warmMs: timings.getServiceMs(ROUTE, true, targetLatencyMs / 3),
+        firstRunMs: timings.getServiceMs(ROUTE, false, targetLatencyMs / 3),
       };
       const choice = decide(req, getPlaces(req), left);
       switch (choice.kind) {
@@ -209,7 +233,7 @@
       const sentAtMs = events.nowMs();
       const wayMs = getWayMs(place.target);
       const expectedMs = Choice.getExpectedMs(place, left);
-      const endWarmup = place.isWarm
+      const endWarmup = Choice.isLikelyWarm(place)
         ? () => {}
         : warmups.start(req.objectKey, id, expectedMs);
       req.tried.add(id);
@@ -248,12 +272,17 @@
         return;
       }
       if (place.busy < SLOTS) {
-        timings.noteAnswer(ROUTE, place.isWarm, now - sentAtMs - wayMs);
+        const isWarm = place.warmChance === 1;
+        const ms = now - sentAtMs - wayMs;
+        const wasFast = timings.noteAnswer(ROUTE, isWarm, ms);
+        if (!isWarm && wasFast !== undefined) {
+          warmth.noteOutcome(place.rank, wasFast);
+        }
       }
       warmth.note(req.objectKey, id);
       const latencyMs = now - req.startedAtMs;
-      if (latencyMs <= TARGET_LATENCY_MS) req.second.inTime++;
-      else if (latencyMs <= DEADLINE_MS) req.second.late++;
+      if (latencyMs <= targetLatencyMs) req.second.inTime++;
+      else if (latencyMs <= deadlineMs) req.second.late++;
     }
 
     scenario.regions.forEach(({ name }) =>
@@ -300,7 +329,7 @@
       target.running++;
       const isKnown = target.memory.has(req.objectKey);
       if (!isKnown) firstRuns++;
-      events.after(isKnown ? WARM_MS : FIRST_RUN_MS, () => {
+      events.after(isKnown ? warmMs : firstRunMs, () => {
         target.running--;
         remember(target, req.objectKey);
         done(true, target);
@@ -314,7 +343,7 @@
   function remember(target: ModelTarget, objectKey: string): void {
     target.memory.delete(objectKey);
     target.memory.set(objectKey, true);
-    if (target.memory.size <= MEMORY_OBJECTS) return;
+    if (target.memory.size <= memoryObjects) return;
     for (const oldest of target.memory.keys()) {
       target.memory.delete(oldest);
       return;
@@ -342,7 +371,10 @@
     });
   }
 
-  const { loss } = scenario;
+  const { loss, restartAtMs } = scenario;
+  if (restartAtMs !== undefined) {
+    events.after(restartAtMs, () => instances = startInstances());
+  }
   if (loss !== undefined) {
     events.after(loss.atMs, () => {
       epoch++;
@@ -352,7 +384,7 @@
     });
   }
   scheduleNext();
-  events.run(scenario.durationMs + DEADLINE_MS);
+  events.run(scenario.durationMs + deadlineMs);
   return { seconds, firstRuns, total: addUp(seconds) };
 }
 
--- a/testing/model/scenarios.ts
+++ b/testing/model/scenarios.ts
@@ -49,6 +49,32 @@
     requestsPerS: 400,
     shed: { fromMs: 8_000, toMs: 14_000, share: 0.55 },
   },
+  restart: {
+    ...COMMON,
+    name: "restart",
+    pattern: "all instances start anew while all targets are warm",
+    requestsPerS: 700,
+    restartAtMs: 10_000,
+  },
+  "large-fleet": {
+    name: "large-fleet",
+    pattern: "87 instances, each of which sees an object twice a minute",
+    regions: [
+      { name: "lombardia", targets: 34, instances: 27 },
+      { name: "trentino", targets: 140, instances: 30 },
+      { name: "piemonte", targets: 168, instances: 30 },
+    ],
+    objectsPerRegion: 417,
+    durationMs: 20_000,
+    requestsPerS: 1_400,
+    times: {
+      warmMs: 640,
+      firstRunMs: 2_120,
+      targetLatencyMs: 1_500,
+      deadlineMs: 10_000,
+      memoryObjects: 15,
+    },
+  },
   overload: {
     ...COMMON,
     name: "overload",
--- a/tests/burn_test.ts
+++ b/tests/burn_test.ts
@@ -8,6 +8,7 @@
 import * as Snapshot from "../src/burn/snapshot.ts";
 import * as Text from "../src/burn/text.ts";
 import type * as Contracts from "../src/contracts.ts";
+import * as LatencyEncoding from "../src/metrics/latency_encoding.ts";
 import * as Metrics from "../src/metrics/metrics.ts";
 import * as Table from "../src/table/table.ts";
 
@@ -20,7 +21,11 @@
 function createTestMetrics(instance: string) {
   let now = START_MS;
   const clock = { nowMs: () => now - START_MS, wallMs: () => now };
-  const metrics = Metrics.createMetrics({ clock, instance });
+  const metrics = Metrics.createMetrics({
+    clock,
+    instance,
+    encodeLatency: LatencyEncoding.encodeHistogram,
+  });
   const record = (
     account: string,
     count: number,
--- a/tests/cli_test.ts
+++ b/tests/cli_test.ts
@@ -3,6 +3,7 @@
 import * as Baseline from "./support/baseline.ts";
 import * as Fake from "../testing/fakes/tool_fleet.ts";
 import * as KeyCommands from "../src/cli/key_commands.ts";
+import * as LatencyEncoding from "../src/metrics/latency_encoding.ts";
 import * as Metrics from "../src/metrics/metrics.ts";
 
 const CSV = Fs.readFileSync("examples/kaksin/table.csv", "utf8");
@@ -237,7 +238,11 @@
 
   it("reports the burn of instances that answer and names the others", async () => {
     const clock = { nowMs: () => 0, wallMs: () => 1_800_000_000_000 };
-    const metrics = Metrics.createMetrics({ clock, instance: "a1" });
+    const metrics = Metrics.createMetrics({
+      clock,
+      instance: "a1",
+      encodeLatency: LatencyEncoding.encodeHistogram,
+    });
     world.instances[0]!.burn = metrics.getBurnSnapshot();
     const { exit, out } = await world.run("report burn --html b.html");
     expect(exit).toBe(6);
--- a/tests/gateway/choice_test.ts
+++ b/tests/gateway/choice_test.ts
@@ -24,7 +24,7 @@
     busy: 0,
     shedShare: 0,
     roundTripMs: 1,
-    isWarm: rank === 0,
+    warmChance: rank === 0 ? 1 : 0,
     warmingMs: undefined,
     ...over,
   }));
@@ -45,7 +45,7 @@
 
   // Guards against a queue at one target while a warm copy idles elsewhere.
   it("shares between warm places by their queues", () => {
-    const places = createPlaces({ busy: 14 }, { isWarm: true });
+    const places = createPlaces({ busy: 14 }, { warmChance: 1 });
     expect(chooseRank(places)).toBe(1);
   });
 
@@ -77,7 +77,7 @@
   // Load pattern: traffic starts, and many ask for the same objects at once.
   it("waits for the first run rather than running beside it", () => {
     const places = createPlaces(
-      { isWarm: false, busy: 5, warmingMs: 200 },
+      { warmChance: 0, busy: 5, warmingMs: 200 },
       { busy: 8 },
     );
     const choice = Choice.choose(places, demand);
@@ -85,7 +85,7 @@
   });
 
   it("runs beside it when the wait would pass the deadline", () => {
-    const places = createPlaces({ isWarm: false, warmingMs: 450 }, {});
+    const places = createPlaces({ warmChance: 0, warmingMs: 450 }, {});
     const choice = Choice.choose(places, { ...demand, deadlineMs: 550 });
     expect(choice).toMatchObject({ kind: "send", place: { rank: 1 } });
   });
@@ -94,7 +94,7 @@
 describe("the choice at more load than can be served", () => {
   // Guards against queues in which everybody becomes late.
   it("refuses what would wait too long to be in time", () => {
-    const places = createPlaces({ busy: 30 }, { busy: 30, isWarm: true });
+    const places = createPlaces({ busy: 30 }, { busy: 30, warmChance: 1 });
     const choice = Choice.choose(places, demand);
     expect(choice).toMatchObject({ kind: "refuse", reason: "full" });
   });
