One reader in large domains, first pulses at once, keepers that don't overlap

Also fewer store calls (gathering grows with a series), one link to each other domain from large domains, accounts' counts sent to one instance a domain, and no first runs at targets that have just started if there is another place.

--- a/src/gateway/account_pool.ts
+++ b/src/gateway/account_pool.ts
@@ -5,7 +5,8 @@
  *
  * One instance of the domain, its keeper, holds the domain's share of each
  * account (`quota.ts`); the others take from it what they need, a little ahead.
- * While the keeper does not answer, an instance has a small reserve of its own.
+ * While the keeper does not answer, an instance has a small reserve of its own;
+ * another one becomes keeper when it can't be reached any more.
  * A keeper spends only the part of the share that belongs to those instances that
  * name it, so two keepers of a split domain do not spend it twice.
  */
@@ -19,17 +20,20 @@
 const TAKE_METHOD = "gateway.take";
 const RANK_KEY = "account-keeper";
 /** A round trip within a domain takes about a millisecond; a busy keeper some more. */
-const TAKE_TIMEOUT_MS = 60;
-/** A keeper that did not answer is not asked for this time. */
-const SUSPECT_MS = 500;
+const TAKE_TIMEOUT_MS = 100;
+/** Advice to a caller whose keeper did not answer; it is replaced when it stays silent. */
+const SILENT_RETRY_MS = 500;
 /** Requests are taken ahead for about this time of an account's callers. */
 const AHEAD_MS = 250;
 /** Most that is taken ahead, so that no instance keeps from others what it may not need. */
 const MAX_AHEAD = 8;
 /** What was taken ahead and not used is dropped after this time. */
 const KEEP_MS = 1_000;
-/** Size of the reserves of all the domain's instances, as a part of the domain's share. */
-const RESERVE_PART = 0.05;
+/**
+ * Size of the reserves of all the domain's instances, as a part of the domain's
+ * share; limits may be exceeded by 10% and some requests.
+ */
+const RESERVE_PART = 0.12;
 /** A naming older than this is no evidence any more. */
 const NAMED_MS = 2_500;
 
@@ -53,6 +57,13 @@
   noteNaming(from: Types.InstanceId, keeper: Types.InstanceId): void;
 }
 
+interface Naming {
+  readonly keeper: Types.InstanceId;
+  readonly atMs: number;
+  /** Before, the keeper that was named until then may still spend. */
+  readonly countsFromMs: number;
+}
+
 interface Wallet {
   tokens: number;
   takenAtMs: number;
@@ -82,39 +93,58 @@
   /** Live instances of the domain, this one included. */
   readonly getCandidates: () => readonly KeeperCandidate[];
   /** Instances of the domain that may still spend, this one included. */
-  readonly getMemberCount: () => number;
+  readonly getMembers: () => readonly Types.InstanceId[];
   readonly clock: Clock.Clock;
 }): AccountPool {
   const { clock, peers, quota } = opts;
   const { self } = peers;
   const wallets = new Map<Types.Account, Wallet>();
-  const suspectUntilMs = new Map<Types.InstanceId, number>();
-  const namings = new Map<
-    Types.InstanceId,
-    { readonly keeper: Types.InstanceId; readonly atMs: number }
-  >();
+  const namings = new Map<Types.InstanceId, Naming>();
   const pending = new Map<Types.Account, Promise<void>>();
+  let chosen: {
+    readonly among: readonly KeeperCandidate[];
+    readonly keeper: Types.InstanceId;
+  } = { among: [], keeper: self };
 
   function getKeeper(): Types.InstanceId {
-    const now = clock.nowMs();
-    const trusted = opts.getCandidates().filter(({ id }) =>
-      id === self || (suspectUntilMs.get(id) ?? -Infinity) <= now
-    );
-    return chooseKeeper(trusted) ?? self;
+    const candidates = opts.getCandidates();
+    if (candidates !== chosen.among) {
+      chosen = { among: candidates, keeper: chooseKeeper(candidates) ?? self };
+    }
+    if (chosen.keeper !== self) noteNaming(self, chosen.keeper);
+    return chosen.keeper;
   }
 
   /** Part of the domain's share that belongs to the instances that name this one. */
   function getNamedPart(): number {
     const now = clock.nowMs();
-    const members = Math.max(1, opts.getMemberCount());
-    let named = 1;
-    for (const [id, { keeper, atMs }] of namings) {
+    noteNaming(self, self);
+    let named = 0;
+    for (const [id, { atMs, countsFromMs, keeper }] of namings) {
       if (now - atMs > NAMED_MS) namings.delete(id);
-      else if (keeper === self) named++;
+      else if (keeper === self && now >= countsFromMs) named++;
     }
+    const members = Math.max(1, opts.getMembers().length);
     return Math.min(1, named / members);
   }
 
+  function noteNaming(from: Types.InstanceId, keeper: Types.InstanceId): void {
+    const now = clock.nowMs();
+    const before = namings.get(from);
+    const isSame = before?.keeper === keeper;
+    const mayOverlap = before !== undefined && !isSame &&
+      opts.getMembers().includes(before.keeper);
+    namings.set(from, {
+      keeper,
+      atMs: now,
+      countsFromMs: isSame
+        ? before.countsFromMs
+        : mayOverlap
+        ? now + NAMED_MS
+        : now,
+    });
+  }
+
   function getWallet(account: GatewayTypes.AccountSpec): Wallet {
     const known = wallets.get(account.name);
     if (known !== undefined) return known;
@@ -137,7 +167,7 @@
     wallet.updatedAtMs = now;
     wallet.demand *= Math.exp(-elapsedMs / DEMAND_TIME_CONSTANT_MS);
     const ratePerS = account.ratePerS * quota.getShare(account.name) *
-      RESERVE_PART / Math.max(1, opts.getMemberCount());
+      RESERVE_PART / Math.max(1, opts.getMembers().length);
     wallet.reserve = Math.min(1, wallet.reserve + ratePerS * elapsedMs / 1_000);
     if (now - wallet.takenAtMs > KEEP_MS) wallet.tokens = 0;
   }
@@ -159,7 +189,6 @@
     const answer = reply.isOk() ? tryReadAnswer(reply.value) : undefined;
     if (answer === undefined) {
       wallet.asked += asked;
-      suspectUntilMs.set(keeper, clock.nowMs() + SUSPECT_MS);
       return 0;
     }
     wallet.tokens += answer.tokens;
@@ -209,13 +238,13 @@
       return "taken";
     }
     if (retryAfterMs > 0) return { retryAfterMs };
-    const next = getKeeper();
-    if (next === self) return takeOwn(account);
-    return takeReserve(wallet) ? "taken" : { retryAfterMs: SUSPECT_MS };
+    if (getKeeper() === self) return takeOwn(account);
+    return takeReserve(wallet) ? "taken" : { retryAfterMs: SILENT_RETRY_MS };
   }
 
-  function answerTake(params: unknown): unknown {
-    if (!Array.isArray(params)) return [0, SUSPECT_MS];
+  function answerTake(params: unknown, from: Types.InstanceId): unknown {
+    if (!Array.isArray(params)) return [0, SILENT_RETRY_MS];
+    noteNaming(from, self);
     const [name, asked, wanted] = params;
     quota.setPart(getNamedPart());
     const taken = quota.takeFor(String(name), Number(asked), Number(wanted));
@@ -243,8 +272,7 @@
       wallet.takenAtMs = clock.nowMs();
     },
     getKeeper,
-    noteNaming: (from, keeper) =>
-      void namings.set(from, { keeper, atMs: clock.nowMs() }),
+    noteNaming,
   };
 }
 
--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -18,6 +18,8 @@
   readonly rank: number;
   /** Left alone after failures. */
   readonly isPaused: boolean;
+  /** It has just started, and is slow. */
+  readonly isCold: boolean;
   /** Cold, and this instance has sent its part already. */
   readonly isColdFull: boolean;
   /** Requests that run or wait there, as far as known. */
@@ -80,6 +82,8 @@
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
 
+/** A target that has just started takes about this many times as long (2 on the users' sites). */
+const COLD_SLOWNESS = 2;
 /** A place that is at least as likely warm as not is treated as warm. */
 const LIKELY = 0.5;
 
@@ -98,7 +102,9 @@
 /** Time until an answer from the place. */
 export function getExpectedMs(place: Place, demand: Demand): number {
   const chance = place.warmingMs === undefined ? place.warmChance : 1;
-  const serviceMs = chance * demand.warmMs + (1 - chance) * demand.firstRunMs;
+  const slowness = place.isCold ? COLD_SLOWNESS : 1;
+  const serviceMs = slowness *
+    (chance * demand.warmMs + (1 - chance) * demand.firstRunMs);
   const waitMs = Math.max(getWaitMs(place, demand), place.warmingMs ?? 0);
   return place.roundTripMs + waitMs + serviceMs;
 }
--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -109,6 +109,17 @@
       ),
   );
 
+  const getConnected = remember(NEIGHBOURS_VALID_MS, clock, () => {
+    const near: Types.InstanceId[] = [];
+    const far = new Map<Types.Domain, Types.InstanceId[]>();
+    for (const one of getReachable()) {
+      if (one.domain === domain) near.push(one.id);
+      else if (far.has(one.domain)) far.get(one.domain)!.push(one.id);
+      else far.set(one.domain, [one.id]);
+    }
+    return { near, far };
+  });
+
   /** Instances that follow the store for this domain. */
   function getReaders(): readonly Types.InstanceId[] {
     return Readers.chooseReaders(
@@ -135,13 +146,18 @@
     ),
     clock,
   });
+  const getDomainMembers = remember(
+    NEIGHBOURS_VALID_MS,
+    clock,
+    roster.getDomainMembers,
+  );
   const coldStarts = ColdStart.createColdStarts({
     clock,
     getStanding: () => ({
       domain,
       domains,
       self,
-      members: roster.getDomainMembers(),
+      members: getDomainMembers(),
     }),
   });
 
@@ -208,7 +224,7 @@
         capacity: pulses.getCapacity(id),
       })),
     ]),
-    getMemberCount: () => roster.getDomainMembers().length,
+    getMembers: getDomainMembers,
     clock,
   });
   const sharing = Sharing.createSharing({
@@ -235,6 +251,7 @@
     quota,
     pool: accounts,
     domain,
+    getConnected,
     capacity: instance.capacity,
     supervisor: supervisor.createChild("pulses"),
   });
@@ -261,18 +278,10 @@
         const ids = getNeighbours().map(({ id }) => id);
         return Rendezvous.rank(fingerprint, [self, ...ids])[0] ?? self;
       },
-      getOutside(fingerprint) {
-        const idsOfDomain = new Map<Types.Domain, Types.InstanceId[]>();
-        for (const one of getReachable()) {
-          if (one.domain === domain) continue;
-          const known = idsOfDomain.get(one.domain);
-          if (known === undefined) idsOfDomain.set(one.domain, [one.id]);
-          else known.push(one.id);
-        }
-        return [...idsOfDomain.values()].map((ids) =>
+      getOutside: (fingerprint) =>
+        [...getConnected().far.values()].map((ids) =>
           Rendezvous.rank(fingerprint, ids)[0]!
-        );
-      },
+        ),
     },
     async listen() {
       const peerAddress = await peers.listen();
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -22,9 +22,10 @@
 /**
  * Changes within this time after a first one come with one answer: entries come
  * and go in series, and the store counts every call. Far below the 2.5 s in which
- * a change must be in force.
+ * a change must be in force. It grows by as much with each change of a series.
  */
 const GATHER_MS = 250;
+const MAX_GATHER_MS = 750;
 /** An outage shorter than this can't have made entries lapse. */
 const SHORT_OUTAGE_MS = 1_500;
 /** A peer that heard from the store this lately shows that the store is up. */
@@ -123,6 +124,7 @@
     const place = opts.prefixes.indexOf(prefix);
     let after: number | undefined;
     let retryMs = RETRY_MIN_MS;
+    let gatherMs = 0;
     while (!signal.aborted) {
       if (!opts.isReader()) {
         await rest();
@@ -175,8 +177,10 @@
       const { items: received, revision } = got.value;
       after = revision;
       takeFromStore(received, () => items.apply(received));
-      // Spares the store a call for each change of a series.
-      if (received.length > 0) await ClockModule.sleep(GATHER_MS, signal);
+      gatherMs = received.length === 0
+        ? 0
+        : Math.min(gatherMs + GATHER_MS, MAX_GATHER_MS);
+      if (gatherMs > 0) await ClockModule.sleep(gatherMs, signal);
       return true;
     }
 
--- a/src/gateway/pulse.ts
+++ b/src/gateway/pulse.ts
@@ -26,6 +26,14 @@
 /** JSON has no infinity. */
 const MAX_AGE_MS = 1e9;
 
+/** Connected instances. */
+export interface Connected {
+  /** Of the own domain. */
+  readonly near: readonly Types.InstanceId[];
+  /** Of each other domain. */
+  readonly far: ReadonlyMap<Types.Domain, readonly Types.InstanceId[]>;
+}
+
 /** Pulses, once they are started. */
 export interface Pulses {
   /** Time between two pulses, ms. */
@@ -47,12 +55,15 @@
   readonly quota: Quota.Quota;
   readonly pool: AccountPool.AccountPool;
   readonly domain: Types.Domain;
+  readonly getConnected: () => Connected;
   /** Processor share of this instance. */
   readonly capacity: number;
   readonly supervisor: Supervisor.Supervisor;
 }): Pulses {
   const { domain, feed, items, peers, pool, quota, roster, sharing } = opts;
   const capacities = new Map<Types.InstanceId, number>();
+  /** Incarnation of each instance that got a first pulse. */
+  const greeted = new Map<Types.InstanceId, string>();
 
   function isLarge(): boolean {
     return roster.getCount() > FULL_RATE_INSTANCES;
@@ -91,25 +102,41 @@
     peers.notify([keeper], DEMANDS_METHOD, message);
   }
 
-  function sendDemands(): void {
-    const others = peers.getMembers().map(({ heartbeat }) => heartbeat)
-      .filter((one) => one.domain !== domain).map(({ id }) => id);
-    const demands = quota.getDemands();
-    peers.notify(others, DEMANDS_METHOD, { domain, demands });
-  }
-
-  function send(): void {
-    const keeper = pool.getKeeper();
-    peers.notifyAll(PULSE_METHOD, {
+  function sendTo(
+    near: readonly Types.InstanceId[],
+    far: readonly Types.InstanceId[],
+  ): void {
+    const pulse = {
       revisions: items.getRevisions(),
       storeAgeMs: Math.min(Math.round(feed.getStoreAgeMs()), MAX_AGE_MS),
       count: roster.getDomainMembers().length,
-      capacity: opts.capacity,
-      keeper,
-    });
-    if (keeper === peers.self) sendDemands();
+    };
+    if (far.length > 0) peers.notify(far, PULSE_METHOD, pulse);
+    const { capacity } = opts;
+    const keeper = pool.getKeeper();
+    peers.notify(near, PULSE_METHOD, { ...pulse, capacity, keeper });
+  }
+
+  /** A domain whose instances start together must not wait a second for its keeper. */
+  function greet(heartbeat: Types.Heartbeat): void {
+    const { id, incarnation } = heartbeat;
+    if (greeted.get(id) === incarnation) return;
+    greeted.set(id, incarnation);
+    if (heartbeat.domain === domain) sendTo([id], []);
+    else sendTo([], [id]);
+  }
+
+  function send(): void {
+    const { near, far } = opts.getConnected();
+    sendTo(near, [...far.values()].flat());
+    if (pool.getKeeper() !== peers.self) return;
+    // One of each domain passes them on; links between regions cost.
+    const demands = quota.getDemands();
+    const first = [...far.values()].flatMap((ids) => ids.slice(0, 1));
+    peers.notify(first, DEMANDS_METHOD, { domain, demands });
   }
 
+  peers.onHeartbeat(greet);
   peers.handle(PULSE_METHOD, receivePulse);
   peers.handle(DEMANDS_METHOD, receiveDemands);
   return {
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -51,6 +51,7 @@
         target,
         rank,
         isPaused: deps.loads.isPaused(id),
+        isCold,
         isColdFull: isCold && !deps.coldStarts.mayStart(id, coldRate),
         busy: deps.loads.getBusy(id),
         shedShare: deps.loads.getShedShare(id),
--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -6,6 +6,11 @@
 export const FULL_MESH_MEMBERS = 24;
 /** Connections to each other domain beyond that size. */
 export const LINKS_PER_OTHER_DOMAIN = 2;
+/**
+ * With this many members in the own domain one is enough: the others have links
+ * of their own, and each link costs every second, most of all between regions.
+ */
+export const LARGE_DOMAIN_MEMBERS = 6;
 
 /** What the choice depends on. */
 export interface MeshMember {
@@ -27,6 +32,10 @@
   if (others.length + 1 <= FULL_MESH_MEMBERS) {
     return new Set(others.map((one) => one.id));
   }
+  const neighbours = others.filter((one) => one.domain === self.domain);
+  const links = neighbours.length + 1 >= LARGE_DOMAIN_MEMBERS
+    ? 1
+    : LINKS_PER_OTHER_DOMAIN;
   const selected = new Set<Types.InstanceId>();
   const byDomain = new Map<Types.Domain, MeshMember[]>();
   for (const one of others) {
@@ -37,7 +46,7 @@
   for (const [domain, group] of byDomain) {
     const ids = domain === self.domain
       ? group.map((one) => one.id)
-      : pickLinks(self.id, group);
+      : pickLinks(self.id, group, links);
     ids.forEach((id) => selected.add(id));
   }
   return selected;
@@ -62,13 +71,14 @@
 function pickLinks(
   selfId: Types.InstanceId,
   group: readonly MeshMember[],
+  count: number,
 ): readonly Types.InstanceId[] {
   const usable = new Set(
     group.filter((one) => one.isUsable).map((one) => one.id),
   );
   const ranked = rankLinks(selfId, group);
   return [
-    ...ranked.slice(0, LINKS_PER_OTHER_DOMAIN),
-    ...ranked.filter((id) => usable.has(id)).slice(0, LINKS_PER_OTHER_DOMAIN),
+    ...ranked.slice(0, count),
+    ...ranked.filter((id) => usable.has(id)).slice(0, count),
   ];
 }
--- a/testing/model/fleet_model.ts
+++ b/testing/model/fleet_model.ts
@@ -159,6 +159,7 @@
           target,
           rank,
           isPaused: loads.isPaused(id),
+          isCold: false,
           isColdFull: false,
           busy: loads.getBusy(id),
           shedShare: loads.getShedShare(id),
--- a/tests/gateway/choice_test.ts
+++ b/tests/gateway/choice_test.ts
@@ -20,6 +20,7 @@
     target: targets[rank]!,
     rank,
     isPaused: false,
+    isCold: false,
     isColdFull: false,
     busy: 0,
     shedShare: 0,
@@ -60,6 +61,12 @@
     expect(chooseRank(createPlaces({ isColdFull: true }, {}))).toBe(1);
   });
 
+  // Load pattern: replaced targets, on which a first run takes longer than its route allows.
+  it("prefers another first run to one at a target that has just started", () => {
+    const places = createPlaces({ isCold: true, warmChance: 0 }, {});
+    expect(chooseRank(places)).toBe(1);
+  });
+
   // Load pattern: a target that sheds half of its requests with free slots.
   it("avoids a target that turns requests away while another is open", () => {
     expect(chooseRank(createPlaces({ shedShare: 0.5 }, {}))).toBe(1);
