Log how long the kernel may hold connections, and sends for callers that left

Change: `connections-read-late` has `acceptMs`, the time for which each iteration of the event loop accepted a connection; `caller-left` has `sends`. No decision changes. Ruled out: a measurement of each iteration by a timer or a hook, which would wake up idle instances.

--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -236,17 +236,19 @@
     }
   }
 
-  /** Logs that the caller disconnected before a response. */
+  /** Logs that the caller disconnected before a response; `sends` counts the targets that got the request. */
   function logDisconnect(
     { callerFields, startedAtMs }: Pick<
       PendingRequest.PendingRequest,
       "callerFields" | "startedAtMs"
     >,
-    targetId: Types.TargetId | undefined,
+    sends: number,
+    targetId?: Types.TargetId,
   ): void {
     deps.log.write("caller-left", {
       id: callerFields.requestId,
       target: targetId,
+      sends,
       ms: Math.round(clock.nowMs() - startedAtMs),
     });
   }
@@ -257,9 +259,9 @@
     targetId: Types.TargetId | undefined,
   ): void {
     if (pending.res.destroyed) {
-      const { account, mayHaveRun } = pending;
+      const { account, mayHaveRun, sendCount } = pending;
       if (account !== undefined && !mayHaveRun) deps.accounts.refund(account);
-      return logDisconnect(pending, targetId);
+      return logDisconnect(pending, sendCount, targetId);
     }
     const rejection = pending.mayHaveRun
       ? Rejection.createRejection("deadlinePassed", "unknown")
@@ -313,7 +315,7 @@
     const bodyResult = await Body.readBody(req, config.limits.maxBodyBytes);
     if (bodyResult.kind === "disconnected") return;
     if (deps.readDelay.isDelayed()) await deps.readDelay.waitUntilRead();
-    if (cancellation.isCancelled()) return logDisconnect(request, undefined);
+    if (cancellation.isCancelled()) return logDisconnect(request, 0);
     if (bodyResult.kind === "too-large") {
       const rejection = Rejection.createRejection("bodyTooLarge", "not-run");
       return reject(request, rejection, { ...details, route: route.name });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -143,7 +143,11 @@
   const splits = Split.createSplits(instance.id);
   const readDelay = ReadDelay.createReadDelay(
     clock,
-    (ms) => log.warn("connections-read-late", { ms: Math.round(ms) }),
+    ({ acceptMs, readMs }) =>
+      log.warn("connections-read-late", {
+        ms: Math.round(readMs),
+        acceptMs: Math.round(acceptMs),
+      }),
   );
   const handler = Forwarder.createForwarder({
     state,
--- a/src/gateway/read_delay.ts
+++ b/src/gateway/read_delay.ts
@@ -8,6 +8,7 @@
  * in the next, so the time between the two is the duration of an iteration.
  */
 import type * as Clock from "../clock.ts";
+import type * as HttpConnections from "../http_connections.ts";
 
 /** Well below the 500 ms within which a caller's disconnect must reach its target. */
 const DELAY_THRESHOLD_MS = 40;
@@ -22,18 +23,18 @@
 
 /** Measures the delay between accepting and reading connections. */
 export interface ReadDelay {
-  /** Records that the first request of a connection was read `ms` after the connection was accepted. */
-  record(ms: number): void;
+  /** Records how late the first request of a connection was read. */
+  record(read: HttpConnections.FirstRead): void;
   /** True if callers may have disconnected without this instance having read it. */
   isDelayed(): boolean;
   /** Resolves, in order of the calls, after the event loop has read everything that has arrived by now. */
   waitUntilRead(): Promise<void>;
 }
 
-/** Creates a measurement without delay; `onDelayed` receives the delay in ms when a delayed period begins. */
+/** Creates a measurement without delay; `onDelayed` receives the delay when a delayed period begins. */
 export function createReadDelay(
   clock: Clock.Clock,
-  onDelayed: (ms: number) => void = () => {},
+  onDelayed: (read: HttpConnections.FirstRead) => void = () => {},
 ): ReadDelay {
   let lastDelayAtMs = -Infinity;
   /** Requests that began to wait after the event loop last read connections. */
@@ -57,9 +58,9 @@
   }
 
   return {
-    record(ms) {
-      if (ms <= DELAY_THRESHOLD_MS) return;
-      if (!isDelayed()) onDelayed(ms);
+    record(read) {
+      if (read.readMs <= DELAY_THRESHOLD_MS) return;
+      if (!isDelayed()) onDelayed(read);
       lastDelayAtMs = clock.nowMs();
     },
     isDelayed,
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -37,8 +37,8 @@
     res: Http.ServerResponse,
   ) => Promise<void> | void,
   onError: (err: unknown, req: Http.IncomingMessage) => void,
-  /** Receives the time in ms between accepting a connection and reading its first request. */
-  onFirstRead?: (ms: number) => void,
+  /** Receives how late the first request of each connection was read. */
+  onFirstRead?: (read: HttpConnections.FirstRead) => void,
 ): Promise<Listener> {
   let isLeaving = false;
   const server = Http.createServer({
--- a/src/http_connections.ts
+++ b/src/http_connections.ts
@@ -37,21 +37,54 @@
   inFlight: number;
 }
 
+/** How late the first request of a connection was read. */
+export interface FirstRead {
+  /** Time in ms between accepting the connection and reading its request. */
+  readonly readMs: number;
+  /**
+   * Time in ms for which each iteration of the event loop accepted a connection.
+   * An iteration accepts one, so the kernel may have held this one for that long.
+   */
+  readonly acceptMs: number;
+}
+
 /**
- * Tracks the connections of a server. `onFirstRead` receives the time in ms between
- * accepting a connection and reading its first request, before that is handled.
+ * Tracks the connections of a server. `onFirstRead` is called when the first request
+ * of a connection was read, before that is handled.
  */
 export function trackConnections(
   server: Http.Server,
-  onFirstRead: (ms: number) => void = () => {},
+  onFirstRead: (read: FirstRead) => void = () => {},
 ): HttpConnections {
   const connections = new Map<Net.Socket, ConnectionState>();
+  /** Consecutive iterations of the event loop that each accepted a connection. */
+  let acceptRun: { readonly sinceMs: number; hasAccepted: boolean } | undefined;
   /** Connections accepted and responses completed; callers often follow a response by a new connection. */
   let activityCount = 0;
   let inFlight = 0;
 
+  /** Ends the run after an iteration that accepted no connection. */
+  function continueAcceptRun(): void {
+    if (acceptRun?.hasAccepted !== true) {
+      acceptRun = undefined;
+      return;
+    }
+    acceptRun.hasAccepted = false;
+    setImmediate(continueAcceptRun);
+  }
+
+  function recordAccept(acceptedAtMs: number): void {
+    if (acceptRun !== undefined) {
+      acceptRun.hasAccepted = true;
+      return;
+    }
+    acceptRun = { sinceMs: acceptedAtMs, hasAccepted: true };
+    setImmediate(continueAcceptRun);
+  }
+
   server.on("connection", (socket: Net.Socket) => {
     const acceptedAtMs = performance.now();
+    recordAccept(acceptedAtMs);
     activityCount++;
     connections.set(socket, { acceptedAtMs, requestCount: 0, inFlight: 0 });
     socket.once("close", () => connections.delete(socket));
@@ -61,7 +94,11 @@
     inFlight++;
     const conn = connections.get(socket);
     if (conn?.requestCount === 0) {
-      onFirstRead(performance.now() - conn.acceptedAtMs);
+      const { acceptedAtMs } = conn;
+      onFirstRead({
+        readMs: performance.now() - acceptedAtMs,
+        acceptMs: acceptedAtMs - (acceptRun?.sinceMs ?? acceptedAtMs),
+      });
     }
     if (conn !== undefined) {
       conn.requestCount++;
--- a/tests/gateway/read_delay_test.ts
+++ b/tests/gateway/read_delay_test.ts
@@ -10,12 +10,12 @@
     const reportedDelays: number[] = [];
     const readDelay = ReadDelay.createReadDelay(
       clock,
-      (ms) => reportedDelays.push(ms),
+      ({ readMs }) => reportedDelays.push(readMs),
     );
-    readDelay.record(5);
+    readDelay.record({ readMs: 5, acceptMs: 0 });
     expect(readDelay.isDelayed()).toBe(false);
-    readDelay.record(300);
-    readDelay.record(200);
+    readDelay.record({ readMs: 300, acceptMs: 0 });
+    readDelay.record({ readMs: 200, acceptMs: 0 });
     expect(readDelay.isDelayed()).toBe(true);
     expect(reportedDelays).toEqual([300]);
     await clock.advance(3_000);
