Read whether a caller has left before its request is handled

Cause: an instance learned of the end of a connection an iteration of the event loop after it had sent the request. The loop reads a request in one iteration, the end behind it in the next, and the response, whose close cancelled the request, only closes in the one after. Only while reads counted as late did a request wait, and lateness was measured from the accept of a new connection to its first request: not on kept connections, and not in the kernel, which holds connections because the loop accepts one in an iteration. Ruled out: a better measure of lateness (the loop does not tell how long it has not read); a threshold on the age of a request, which nobody tells the instance. Change: every request waits until everything that had arrived with it is read (read_barrier.ts). The end of the connection itself cancels, for each request on it (caller_end.ts). Evidence: late_callers_test.ts, 60 of 60 requests sent on new and on kept connections before, 0 now; one of two pipelined requests cancelled before, both now.

--- a/src/gateway/cancellation.ts
+++ b/src/gateway/cancellation.ts
@@ -4,9 +4,14 @@
  * processor time of a request.
  */
 
+/** Why the work was cancelled. */
+export type Reason = "caller-left" | "deadline";
+
 /** The receiving side of a cancellation. */
 export interface Cancellation {
   isCancelled(): boolean;
+  /** Returns the reason of the first `cancel`; undefined before it. */
+  getReason(): Reason | undefined;
   /** `fn` is called once, at the cancellation; never if the cancellation has already happened. */
   addListener(fn: () => void): void;
   removeListener(fn: () => void): void;
@@ -15,24 +20,25 @@
 /** The side that can cancel the work. */
 export interface CancellationSource extends Cancellation {
   /** Calls all listeners once; further calls have no effect. */
-  cancel(): void;
+  cancel(reason: Reason): void;
 }
 
 /** Creates a source that is not cancelled. */
 export function createCancellation(): CancellationSource {
-  let isCancelled = false;
+  let cancelReason: Reason | undefined;
   let listeners: (() => void)[] = [];
 
   return {
-    isCancelled: () => isCancelled,
+    isCancelled: () => cancelReason !== undefined,
+    getReason: () => cancelReason,
     addListener: (fn) => void listeners.push(fn),
     removeListener(fn) {
       const index = listeners.indexOf(fn);
       if (index >= 0) listeners.splice(index, 1);
     },
-    cancel() {
-      if (isCancelled) return;
-      isCancelled = true;
+    cancel(reason) {
+      if (cancelReason !== undefined) return;
+      cancelReason = reason;
       const notifiedListeners = listeners;
       listeners = [];
       for (const fn of notifiedListeners) fn();
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -6,6 +6,7 @@
  */
 import * as Crypto from "node:crypto";
 import type * as Http from "node:http";
+import * as CallerEnd from "../caller_end.ts";
 import * as Debug from "../debug.ts";
 import type * as Types from "../types.ts";
 import type * as Attempt from "./attempt.ts";
@@ -258,7 +259,7 @@
     pending: PendingRequest.PendingRequest,
     targetId: Types.TargetId | undefined,
   ): void {
-    if (pending.res.destroyed) {
+    if (pending.cancellation.getReason() === "caller-left") {
       const { account, mayHaveRun, sendCount } = pending;
       if (account !== undefined && !mayHaveRun) deps.accounts.refund(account);
       return logDisconnect(pending, sendCount, targetId);
@@ -311,10 +312,10 @@
       return reject(request, rejection, { ...details, route: route.name });
     }
     const cancellation = Cancellation.createCancellation();
-    res.once("close", cancellation.cancel);
+    CallerEnd.onCallerEnd(req, res, () => cancellation.cancel("caller-left"));
     const bodyResult = await Body.readBody(req, config.limits.maxBodyBytes);
     if (bodyResult.kind === "disconnected") return;
-    if (deps.readDelay.isDelayed()) await deps.readDelay.waitUntilRead();
+    await deps.readBarrier.wait();
     if (cancellation.isCancelled()) return logDisconnect(request, 0);
     if (bodyResult.kind === "too-large") {
       const rejection = Rejection.createRejection("bodyTooLarge", "not-run");
@@ -352,7 +353,7 @@
       (callerFields.deadlineMs ?? Infinity) - RESPONSE_LATENCY_MS,
     );
     const timer = setTimeout(
-      cancellation.cancel,
+      () => cancellation.cancel("deadline"),
       startedAtMs + timeoutMs - clock.nowMs(),
     );
     await forward({
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import * as Control from "./control.ts";
 import * as Directory from "./directory.ts";
 import * as Forwarder from "./forwarder.ts";
+import * as ReadBarrier from "./read_barrier.ts";
 import * as ReadDelay from "./read_delay.ts";
 import * as Placement from "./placement.ts";
 import * as RequestLog from "./request_log.ts";
@@ -191,7 +192,7 @@
     metrics,
     log: requestLog,
     clock,
-    readDelay,
+    readBarrier: ReadBarrier.createReadBarrier(clock),
     getColdRatePerS,
   });
 
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -7,7 +7,7 @@
 import type * as Attempt from "./attempt.ts";
 import type * as Cancellation from "./cancellation.ts";
 import type * as ColdStart from "./cold_start.ts";
-import type * as ReadDelay from "./read_delay.ts";
+import type * as ReadBarrier from "./read_barrier.ts";
 import type * as Placement from "./placement.ts";
 import type * as RequestLog from "./request_log.ts";
 import type * as Split from "./split.ts";
@@ -37,7 +37,7 @@
   readonly metrics: ProductContracts.Metrics;
   readonly log: RequestLog.RequestLog;
   readonly clock: Clock.Clock;
-  readonly readDelay: ReadDelay.ReadDelay;
+  readonly readBarrier: ReadBarrier.ReadBarrier;
   readonly workingSets: WorkingSet.WorkingSets;
   /** Requests per second that a cold target of the service may receive from all instances together. */
   readonly getColdRatePerS: (service: Types.Service) => number;
--- a/testing/caller/leaving.ts
+++ b/testing/caller/leaving.ts
@@ -10,6 +10,8 @@
 export interface Options {
   /** Address of the instance. */
   readonly address: string;
+  /** Request line and headers of each request; `{caller}` stands for the number of its caller. */
+  readonly head: readonly string[];
   readonly count: number;
   readonly disconnectAfterMs: number;
   /** True if each caller completes a request on its connection before it sends another. */
@@ -18,16 +20,11 @@
 
 const opts = JSON.parse(process.argv[2] ?? "{}") as Options;
 
-function createRequest(caller: number, suffix: string): string {
-  return [
-    "GET /read/x HTTP/1.1",
-    "host: shop.example",
-    `x-request-id: caller-${caller}-${suffix}`,
-    "x-deadline-ms: 1000",
-    "authorization: Bearer k1",
-    `cookie: X-Affinity-Key=${caller}`,
-    "\r\n",
-  ].join("\r\n");
+function createRequest(caller: number): string {
+  return [...opts.head, "\r\n"].join("\r\n").replaceAll(
+    "{caller}",
+    `${caller}`,
+  );
 }
 
 async function connect(): Promise<Net.Socket> {
@@ -39,13 +36,13 @@
 
 async function connectAndRequest(caller: number): Promise<Net.Socket> {
   const socket = await connect();
-  socket.write(createRequest(caller, "first"));
+  socket.write(createRequest(caller));
   await new Promise((resolve) => socket.once("data", resolve));
   return socket;
 }
 
 function sendAndLeave(socket: Net.Socket, caller: number): void {
-  socket.write(createRequest(caller, "last"));
+  socket.write(createRequest(caller));
   setTimeout(() => socket.destroy(), opts.disconnectAfterMs);
 }
 
--- a/tests/gateway/exchange_test.ts
+++ b/tests/gateway/exchange_test.ts
@@ -59,7 +59,7 @@
 
   function send(conn: Connections.TargetConnection) {
     const cancellation = Cancellation.createCancellation();
-    setTimeout(cancellation.cancel, 2_000).unref();
+    setTimeout(() => cancellation.cancel("deadline"), 2_000).unref();
     return Exchange.exchange(conn, request, cancellation, buffer);
   }
 
@@ -183,7 +183,7 @@
     const { conn } = await open([]);
     const cancellation = Cancellation.createCancellation();
     const pending = Exchange.exchange(conn, request, cancellation, buffer);
-    cancellation.cancel();
+    cancellation.cancel("caller-left");
     expect((await pending).kind).toBe("aborted");
   });
 
--- a/tests/gateway/late_callers_test.ts
+++ b/tests/gateway/late_callers_test.ts
@@ -1,6 +1,7 @@
-import * as ChildProcess from "node:child_process";
+import * as Net from "node:net";
 import { describe, expect, it } from "vitest";
 import type * as LeavingCallers from "../../testing/caller/leaving.ts";
+import * as Callers from "../../testing/harness/leaving_callers.ts";
 import * as Cleanups from "../support/cleanups.ts";
 import * as Rig from "../support/gateway_rig.ts";
 
@@ -12,26 +13,24 @@
 }
 
 describe("an instance that reads its callers' connections late", () => {
-  /** Starts callers that wait for `send`. */
-  async function prepareCallers(opts: LeavingCallers.Options) {
-    const script = "dist/testing/caller/leaving.js";
-    const args = [script, JSON.stringify(opts)];
-    const child = ChildProcess.spawn(process.execPath, args);
-    const exited = new Promise((resolve) => child.once("exit", resolve));
-    await new Promise((resolve) => child.stdout.once("data", resolve));
-    return {
-      /** Lets all callers send and disconnect; resolves when the command has been passed to them. */
-      send: () =>
-        new Promise<void>((resolve) =>
-          child.stdin.write("send", () => resolve())
-        ),
-      exited,
-    };
-  }
-
-  function blockProcessor(ms: number): void {
-    const untilMs = performance.now() + ms;
-    while (performance.now() < untilMs);
+  function prepareCallers(
+    opts: Pick<
+      LeavingCallers.Options,
+      "address" | "disconnectAfterMs" | "isKept"
+    >,
+  ) {
+    return Callers.prepareLeavingCallers({
+      ...opts,
+      count: CALLER_COUNT,
+      head: [
+        "GET /read/x HTTP/1.1",
+        "host: shop.example",
+        "x-request-id: caller-{caller}",
+        "x-deadline-ms: 1000",
+        "authorization: Bearer k1",
+        "cookie: X-Affinity-Key={caller}",
+      ],
+    });
   }
 
   /** Starts a fleet with idle connections to its targets, on which a request is sent without delay. */
@@ -56,13 +55,12 @@
   it("does not send requests of callers that have disconnected", async () => {
     let isSlow = false;
     const { countReceived, front, targets } = await startWarmFleet(() =>
-      blockProcessor(isSlow ? 40 : 0)
+      Callers.blockProcessor(isSlow ? 40 : 0)
     );
     const receivedBefore = countReceived();
     for (const target of targets) target.setBehaviour("hang");
     const callers = await prepareCallers({
       address: front,
-      count: CALLER_COUNT,
       disconnectAfterMs: 150,
       isKept: false,
     });
@@ -83,13 +81,12 @@
       const { countReceived, front, instances } = await startWarmFleet();
       const callers = await prepareCallers({
         address: front,
-        count: CALLER_COUNT,
         disconnectAfterMs: 50,
         isKept: connection === "kept",
       });
       const receivedBefore = countReceived();
       await callers.send();
-      blockProcessor(800);
+      Callers.blockProcessor(800);
       await callers.exited;
       await Rig.until("the instance has read that all callers left", () => {
         const { lines } = instances[0]!;
@@ -100,3 +97,23 @@
     });
   }
 });
+
+describe("a caller that disconnects with several requests on its connection", () => {
+  // Only the first response of a pipeline is attached to the connection and closes with it.
+  for (const method of ["destroy", "resetAndDestroy"] as const) {
+    it(`cancels each of them at its target (${method})`, async () => {
+      const { front, targets } = await Rig.startFleet(addCleanup);
+      for (const target of targets) target.setBehaviour("hang");
+      const [host, port] = front.split(":");
+      const socket = Net.connect({ host: host!, port: Number(port) });
+      const head = "GET /read/x HTTP/1.1\r\nhost: shop.example\r\n" +
+        "authorization: Bearer k1\r\nx-request-id: ";
+      socket.write(`${head}a\r\n\r\n${head}b\r\n\r\n`);
+      await Rig.until("both run", () => Rig.countRuns(targets) === 2);
+      socket[method]();
+      await sleep(500);
+      const cancelled = targets.map((target) => target.getCancelled());
+      expect(cancelled.reduce((sum, count) => sum + count, 0)).toBe(2);
+    });
+  }
+});
