Cancel each request of a pipeline on the product's own path when its caller leaves

Cause: as on the gateway's path, the close of the response told that a caller had left. In a pipeline only the first response is attached to the connection, so the others ran to their end, and a request was sent before its caller's end was acted on. Ruled out: the read barrier of the gateway. Change: admission.ts listens to the end of the connection. Evidence: forwarding_test.ts, 40 of 40 requests of absent callers sent before and one of two pipelined requests cancelled; 0 and two now.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -7,6 +7,7 @@
  */
 import type * as Http from "node:http";
 import { Err, Ok, type Result } from "ts-results-es";
+import * as CallerEnd from "../caller_end.ts";
 import * as Debug from "../debug.ts";
 import * as Body from "../forward/body.ts";
 import * as Headers from "../forward/headers.ts";
@@ -44,10 +45,7 @@
     const requestId = Context.createRequestId();
     const startedAtMs = deps.clock.nowMs();
     const abort = new AbortController();
-    // Once the whole response is written there is nothing to abort.
-    res.once("close", () => {
-      if (!res.writableFinished) abort.abort(CALLER_DISCONNECTED);
-    });
+    CallerEnd.onCallerEnd(req, res, () => abort.abort(CALLER_DISCONNECTED));
     const prepared = await prepareRequest(deps, req, res, {
       requestId,
       startedAtMs,
--- a/tests/forwarding_test.ts
+++ b/tests/forwarding_test.ts
@@ -1,7 +1,9 @@
 import * as Crypto from "node:crypto";
+import * as Net from "node:net";
 import { describe, expect, it } from "vitest";
 import * as Fakes from "../testing/fakes/request_path.ts";
 import * as Requests from "../testing/fakes/requests.ts";
+import * as Callers from "../testing/harness/leaving_callers.ts";
 import * as RequestPath from "./support/request_path.ts";
 
 describe("request path", () => {
@@ -145,5 +147,49 @@
         "cancelled",
       );
     });
+
+    // The end of a connection is read an iteration of the event loop after its request.
+    it("does not send requests of callers that left 700 ms before they were read", async () => {
+      // Leaves idle connections to the targets, on which a request is sent without delay.
+      await Promise.all(
+        Array.from(
+          { length: 40 },
+          () => Requests.sendRequest(rig.instance.address),
+        ),
+      );
+      const callers = await Callers.prepareLeavingCallers({
+        address: rig.instance.address,
+        head: [
+          "GET /s/booking/bikes HTTP/1.1",
+          "host: any",
+          `anvilroute-key: ${Fakes.CLUB_KEY}`,
+        ],
+        count: 40,
+        disconnectAfterMs: 50,
+        isKept: false,
+      });
+      const countReceived = () =>
+        [rig.first, rig.second].flatMap((target) => target.getRecords()).length;
+      const receivedBefore = countReceived();
+      await callers.send();
+      Callers.blockProcessor(800);
+      await callers.exited;
+      await expect.poll(() => rig.instance.records.length).toBe(80);
+      expect(countReceived() - receivedBefore).toBe(0);
+    });
+
+    // Only the first response of a pipeline is attached to the connection and closes with it.
+    it("cancels each request of a pipeline at the target when the caller disconnects", async () => {
+      const { hostname, port } = new URL(`http://${rig.instance.address}`);
+      const socket = Net.connect({ host: hostname, port: Number(port) });
+      const request = "GET /s/booking/bikes?ms=1000 HTTP/1.1\r\n" +
+        `host: ${hostname}\r\nanvilroute-key: ${Fakes.CLUB_KEY}\r\n\r\n`;
+      socket.write(request + request);
+      await expect.poll(() => rig.first.getStats().inUse).toBe(2);
+      socket.destroy();
+      await expect.poll(() =>
+        rig.first.getRecords().map((record) => record.outcome)
+      ).toEqual(["cancelled", "cancelled"]);
+    });
   });
 });
