Read and log the rate limits that targets name

Change: the adapter reads `Server-Limit`; an instance keeps the last value of each target and logs `target-rate` when it changes. A rejection without the header says nothing about it. No decision changes.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import * as Servers from "./servers.ts";
 import type * as Settings from "./settings.ts";
 import * as Split from "./split.ts";
+import * as TargetLimits from "./target_limits.ts";
 import * as TargetLoad from "./target_load.ts";
 import * as Timings from "./timings.ts";
 import type * as GatewayTypes from "./types.ts";
@@ -139,6 +140,10 @@
     clock,
     (target, isLimited) => log.info("target-limited", { target, isLimited }),
   );
+  const targetLimits = TargetLimits.createTargetLimits({
+    onChange: (target, ratePerS) =>
+      log.info("target-rate", { target, limitPerS: ratePerS ?? "none" }),
+  });
   const loads = TargetLoad.createTargetLoads(clock);
   const timings = Timings.createTimings();
   const splits = Split.createSplits(instance.id);
@@ -170,6 +175,7 @@
     workingSets,
     warmups: Warmup.createWarmups(clock),
     loads,
+    targetLimits,
     coldStarts,
     timings,
     accounts,
@@ -275,6 +281,7 @@
   state.onConfig(applyConfig);
   state.onTargetRemoved(({ entry }) => {
     loads.removeTarget(entry.id);
+    targetLimits.removeTarget(entry.id);
     coldStarts.removeTarget(entry.id);
     workingSets.removeTarget(entry.id);
     connections.removeTarget(entry.address);
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -12,6 +12,7 @@
 import type * as RequestLog from "./request_log.ts";
 import type * as Split from "./split.ts";
 import type * as StateModule from "./state.ts";
+import type * as TargetLimits from "./target_limits.ts";
 import type * as TargetLoad from "./target_load.ts";
 import type * as Timings from "./timings.ts";
 import type * as GatewayTypes from "./types.ts";
@@ -26,6 +27,7 @@
   readonly attempts: Attempt.Attempts;
   readonly placement: Placement.Placement;
   readonly loads: TargetLoad.TargetLoads;
+  readonly targetLimits: TargetLimits.TargetLimits;
   readonly coldStarts: ColdStart.ColdStarts;
   readonly timings: Timings.Timings;
   readonly cacheState: CacheState.CacheState;
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -2,10 +2,12 @@
  * Lists the candidate targets of a pending request, sends the request to one of
  * them, and records the outcome for the target.
  */
+import type * as Types from "../types.ts";
 import type * as Attempt from "./attempt.ts";
 import * as EligibleTargets from "./eligible_targets.ts";
 import * as Choice from "./choice.ts";
 import * as PendingRequest from "./pending_request.ts";
+import type * as GatewayTypes from "./types.ts";
 
 /**
  * A response that arrives at this instance less than this before the deadline
@@ -133,6 +135,16 @@
     return result;
   }
 
+  /** Records what the target reports about itself. A rejection need not repeat its rate limit. */
+  function recordFields(
+    id: Types.TargetId,
+    { isNotRun, load, rateLimitPerS }: GatewayTypes.ResponseFields,
+  ): void {
+    if (load !== undefined) deps.loads.recordReport(id, load);
+    if (isNotRun && rateLimitPerS === undefined) return;
+    deps.targetLimits.recordResponse(id, rateLimitPerS);
+  }
+
   function recordResult(
     pending: PendingRequest.PendingRequest,
     candidate: Choice.Candidate,
@@ -149,9 +161,7 @@
         const serviceMs = Math.max(1, clock.nowMs() - sentAtMs - roundTripMs);
         const isFailure = result.response.status >= 500;
         deps.loads.end(id, "answered");
-        if (result.fields.load !== undefined) {
-          deps.loads.recordReport(id, result.fields.load);
-        }
+        recordFields(id, result.fields);
         if (!isFailure) {
           // A target that is overloaded with affinity keys evicts them early, so an
           // earlier response proves nothing there.
@@ -175,9 +185,7 @@
       }
       case "not-run":
         deps.loads.end(id, result.isMisdirected ? "unreachable" : "shed");
-        if (result.fields.load !== undefined) {
-          deps.loads.recordReport(id, result.fields.load);
-        }
+        if (!result.isMisdirected) recordFields(id, result.fields);
         return;
       case "unreachable":
         return deps.loads.end(id, "unreachable");
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -169,6 +169,8 @@
   readonly isMisdirected: boolean;
   readonly requestId: string | undefined;
   readonly load: LoadReport | undefined;
+  /** Requests per second that the target takes from all instances together; undefined when it names no limit. */
+  readonly rateLimitPerS: number | undefined;
   /** True when the response carries the mark that only targets add. */
   readonly isSigned: boolean;
   /** True when the target is leaving or requests a new connection. */
--- a/testing/kv/kv_target.ts
+++ b/testing/kv/kv_target.ts
@@ -22,9 +22,13 @@
   readonly ran: readonly string[];
   /** Headers of the requests that arrived. */
   readonly seen: readonly Http.IncomingHttpHeaders[];
+  /** Monotonic ms at which each request arrived. */
+  readonly arrivedAtMs: readonly number[];
   /** Requests whose connection the gateway closed before the answer. */
   getCancelled(): number;
   setBehaviour(behaviour: Behaviour): void;
+  /** Sets the requests per second that the target names in its responses; undefined for none. */
+  setRateLimit(perS: number | undefined): void;
   register(state?: "ready" | "draining", over?: object): void;
   close(): Promise<void>;
 }
@@ -38,11 +42,17 @@
 ): Promise<KvTarget> {
   const ran: string[] = [];
   const seen: Http.IncomingHttpHeaders[] = [];
+  const arrivedAtMs: number[] = [];
+  let rateLimitPerS: number | undefined;
   let behaviour: Behaviour = "serve";
   let cancelled = 0;
   const server = Http.createServer({ keepAliveTimeout: 10_000 }, (req, res) => {
     const requestId = String(req.headers["x-request-id"]);
     seen.push(req.headers);
+    arrivedAtMs.push(performance.now());
+    if (rateLimitPerS !== undefined) {
+      res.setHeader("Server-Limit", String(rateLimitPerS));
+    }
     res.setHeader("X-Request-Id", requestId);
     res.setHeader("X-Server-Load", `${0},0,4`);
     res.on("close", () => {
@@ -90,8 +100,10 @@
     id,
     ran,
     seen,
+    arrivedAtMs,
     getCancelled: () => cancelled,
     setBehaviour: (next) => void (behaviour = next),
+    setRateLimit: (perS) => void (rateLimitPerS = perS),
     register,
     close() {
       server.closeAllConnections();
--- a/tests/platform/adapter_test.ts
+++ b/tests/platform/adapter_test.ts
@@ -213,6 +213,16 @@
       load: { running: 3, waiting: 1, slots: 9 },
     });
   });
+
+  it("reads the rate limit that a target names, and ignores a malformed one", () => {
+    const readLimit = (value: string) =>
+      Headers.headerDialect.readResponse(200, [["Server-Limit", value]])
+        .rateLimitPerS;
+    expect(["10.8", "7", "0"].map(readLimit)).toEqual([10.8, 7, 0]);
+    for (const value of ["", "-1", "1e9", "many", "5 "]) {
+      expect(readLimit(value)).toBeUndefined();
+    }
+  });
 });
 
 describe("store client", () => {
