Keep the requests to a target within the rate that it names

Cause: a limit that binds all instances together was unknown to the product; of the class of limits that are conserved by division (accounts, second sends, cold targets), this one was missing. Ruled out: equal parts with a whole request of burst each, parts of a request by chance, one instance in charge (docs/decisions/0012). Change: the rate is divided into permits, allocated like the rate of a cold target. An instance without a token of its own passes the target over, as it does a cold one. Status messages carry what responses named last, as an instance without a permit would never learn that the rate is lifted.

--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -33,8 +33,8 @@
   readonly isPaused: boolean;
   /** True when the target just started and is still slow. */
   readonly isCold: boolean;
-  /** True when the target is cold and this instance has used up its send rate for it. */
-  readonly isColdLimitReached: boolean;
+  /** True when this instance has used up its send rate for the target, which is cold or names a rate limit. */
+  readonly isRateLimitReached: boolean;
   /** True when the target is overloaded and the affinity key is outside its working set. */
   readonly isExcluded: boolean;
   /** Requests that run or wait at the target, as far as this instance knows. */
@@ -219,7 +219,7 @@
     return createRejection("full", MAX_RETRY_MS);
   }
   const available = eligible.filter((candidate) =>
-    !candidate.isColdLimitReached && !isFull(candidate)
+    !candidate.isRateLimitReached && !isFull(candidate)
   );
   if (available.length === 0) {
     const reason = reachable.length === 0 ? "no-target" : "full";
--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -26,6 +26,7 @@
 import type * as Settings from "./settings.ts";
 import * as ItemSync from "./item_sync.ts";
 import * as StateModule from "./state.ts";
+import * as TargetLimits from "./target_limits.ts";
 import * as Topology from "./topology.ts";
 
 const SECRET_BYTES = 32;
@@ -57,6 +58,7 @@
   getFleetCount(): number;
   readonly accounts: AccountPool.AccountPool;
   readonly coldStarts: ColdStart.ColdStarts;
+  readonly targetLimits: TargetLimits.TargetLimits;
   /** Live instances to which callers may connect, without this instance. */
   getLiveInstances(): readonly Directory.DirectoryInstance[];
   /** Instances that receive reports of poison requests. */
@@ -169,14 +171,18 @@
     clock,
     memberList.getCount,
   );
-  const coldStarts = ColdStart.createColdStarts({
+  const getFleetPosition = () => ({
+    domain,
+    domains,
+    self,
+    members: getDomainMembers(),
+  });
+  const coldStarts = ColdStart.createColdStarts({ clock, getFleetPosition });
+  const targetLimits = TargetLimits.createTargetLimits({
     clock,
-    getFleetPosition: () => ({
-      domain,
-      domains,
-      self,
-      members: getDomainMembers(),
-    }),
+    getFleetPosition,
+    onChange: (target, ratePerS) =>
+      log.info("target-rate", { target, limitPerS: ratePerS ?? "none" }),
   });
 
   function getHeartbeat(): Types.Heartbeat {
@@ -280,6 +286,7 @@
     memberList,
     domainView,
     getDomainReport: fleetView.getDomainReport,
+    targetLimits,
     quota,
     pool: accounts,
     domain,
@@ -304,6 +311,7 @@
     getFleetCount,
     accounts,
     coldStarts,
+    targetLimits,
     getLiveInstances: fleetView.getLiveInstances,
     reportRoute: {
       getCollector(fingerprint) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,7 +21,6 @@
 import * as Servers from "./servers.ts";
 import type * as Settings from "./settings.ts";
 import * as Split from "./split.ts";
-import * as TargetLimits from "./target_limits.ts";
 import * as TargetLoad from "./target_load.ts";
 import * as Timings from "./timings.ts";
 import type * as GatewayTypes from "./types.ts";
@@ -108,7 +107,7 @@
     clock,
     log,
   });
-  const { accounts, coldStarts, peers, state } = control;
+  const { accounts, coldStarts, peers, state, targetLimits } = control;
 
   /** Requests per second that all instances together may send to a cold target of the service. */
   function getColdRatePerS(service: Types.Service): number {
@@ -140,10 +139,6 @@
     clock,
     (target, isLimited) => log.info("target-limited", { target, isLimited }),
   );
-  const targetLimits = TargetLimits.createTargetLimits({
-    onChange: (target, ratePerS) =>
-      log.info("target-rate", { target, limitPerS: ratePerS ?? "none" }),
-  });
   const loads = TargetLoad.createTargetLoads(clock);
   const timings = Timings.createTimings();
   const splits = Split.createSplits(instance.id);
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -63,7 +63,8 @@
         rank,
         isPaused: deps.loads.isPaused(id),
         isCold,
-        isColdLimitReached: isCold && !deps.coldStarts.canSend(id, coldRate),
+        isRateLimitReached: !deps.targetLimits.canSend(id) ||
+          isCold && !deps.coldStarts.canSend(id, coldRate),
         isExcluded: rank === 0
           ? !deps.workingSets.has(pending.affinityKey, id)
           : deps.workingSets.isLimited(id),
@@ -112,6 +113,7 @@
       candidate.roundTripMs / 2;
     pending.triedTargets.add(id);
     deps.loads.start(id);
+    deps.targetLimits.recordSend(id);
     if (target.coldUntilMs > sentAtMs) deps.coldStarts.recordSend(id);
     const result = await deps.attempts.send({
       address: target.entry.address,
--- a/src/gateway/status_gossip.ts
+++ b/src/gateway/status_gossip.ts
@@ -1,10 +1,10 @@
 /**
  * Status messages that instances send to each other: store revisions, store age,
- * member count of the domain, and the coordinator of the domain's accounts. In a
- * large fleet they also tell the peers of the local domain which instances the
- * sender is connected to, and the member counts of the other domains, as most
- * instances are connected to hubs only. Coordinators also send the demands of
- * their domain.
+ * member count of the domain, rates that targets name, and the coordinator of the
+ * domain's accounts. In a large fleet they also tell the peers of the local domain
+ * which instances the sender is connected to, and the member counts of the other
+ * domains, as most instances are connected to hubs only. Coordinators also send the
+ * demands of their domain.
  */
 import * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
@@ -19,6 +19,7 @@
 import type * as Quota from "./quota.ts";
 import type * as MemberList from "./member_list.ts";
 import * as ItemSync from "./item_sync.ts";
+import * as TargetLimits from "./target_limits.ts";
 
 /** Bounds how far the shares of an account's limit lag behind its callers. */
 const INTERVAL_MS = 250;
@@ -59,6 +60,7 @@
   readonly domainView: DomainView.DomainView;
   /** Instances of the local domain, as this instance itself sees them. */
   readonly getDomainReport: () => DomainView.DomainReport;
+  readonly targetLimits: TargetLimits.TargetLimits;
   readonly quota: Quota.Quota;
   readonly pool: AccountPool.AccountPool;
   readonly domain: Types.Domain;
@@ -68,7 +70,7 @@
 }): StatusGossip {
   const { clock, domain, feed, items, itemSync, memberList, peers, pool } =
     opts;
-  const { quota } = opts;
+  const { quota, targetLimits } = opts;
   /** Incarnation of each instance that received a first status message. */
   const greetedIncarnations = new Map<Types.InstanceId, string>();
 
@@ -89,6 +91,7 @@
     const { count, keeper, revisions, storeAgeMs } = params;
     if (typeof storeAgeMs === "number") feed.recordStoreAge(storeAgeMs);
     itemSync.recordPeerRevisions(sender, ItemSync.readRevisions(revisions));
+    targetLimits.recordReports(TargetLimits.readReports(params["limits"]));
     const peerDomain = tryGetDomain(sender);
     if (peerDomain === undefined) return;
     if (peerDomain !== domain) {
@@ -124,7 +127,9 @@
     localIds: readonly Types.InstanceId[],
     remoteIds: readonly Types.InstanceId[],
   ): void {
+    const limits = targetLimits.getReports();
     const status = {
+      ...(limits.length === 0 ? {} : { limits }),
       revisions: items.getRevisions(),
       storeAgeMs: Math.min(Math.round(feed.getStoreAgeMs()), MAX_AGE_MS),
       count: memberList.getDomainMembers().length,
--- a/testing/model/fleet_model.ts
+++ b/testing/model/fleet_model.ts
@@ -191,7 +191,7 @@
           rank,
           isPaused: loads.isPaused(id),
           isCold: false,
-          isColdLimitReached: false,
+          isRateLimitReached: false,
           isExcluded: rank === 0
             ? !workingSets.has(req.affinityKey, id)
             : workingSets.isLimited(id),
--- a/tests/gateway/choice_test.ts
+++ b/tests/gateway/choice_test.ts
@@ -25,7 +25,7 @@
     rank,
     isPaused: false,
     isCold: false,
-    isColdLimitReached: false,
+    isRateLimitReached: false,
     isExcluded: false,
     outstanding: 0,
     shedShare: 0,
@@ -103,7 +103,7 @@
   it("skips a target that is paused, full or at its cold start limit", () => {
     expect(chooseRank(createCandidates({ isPaused: true }, {}))).toBe(1);
     expect(chooseRank(createCandidates({ outstanding: 36 }, {}))).toBe(1);
-    expect(chooseRank(createCandidates({ isColdLimitReached: true }, {}))).toBe(
+    expect(chooseRank(createCandidates({ isRateLimitReached: true }, {}))).toBe(
       1,
     );
   });
