--- a/tests/platform/adapter_test.ts
+++ b/tests/platform/adapter_test.ts
@@ -214,6 +214,13 @@
     });
   });
 
+  // Targets that share their machines add a figure that changes many times a second.
+  it("reads a load report with a fourth figure", () => {
+    const headers = [["X-Server-Load", "3,1,9,140"]] as const;
+    expect(Headers.headerDialect.readResponse(200, headers).load)
+      .toEqual({ running: 3, waiting: 1, slots: 9 });
+  });
+
   it("reads the rate limit that a target names, and ignores a malformed one", () => {
     const readLimit = (value: string) =>
       Headers.headerDialect.readResponse(200, [["Server-Limit", value]])
