--- a/tests/gateway/target_limits_test.ts
+++ b/tests/gateway/target_limits_test.ts
@@ -1,54 +1,20 @@
 import { describe, expect, it } from "vitest";
 import * as TargetLimits from "../../src/gateway/target_limits.ts";
+import * as LimitsFleet from "../../testing/fakes/limits_fleet.ts";
 import * as Cleanups from "../support/cleanups.ts";
 import * as Rig from "../support/gateway_rig.ts";
 
 const addCleanup = Cleanups.createCleanups();
-const WINDOW_MS = 4_000;
-/** A target may get this many times its limit, and some requests more, in a window. */
-const ALLOWED_FACTOR = 1.5;
-const ALLOWED_EXTRA = 5;
 
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-/** Most arrivals in any window that begins at `fromMs` or later. */
-function countBusiestWindow(
-  arrivedAtMs: readonly number[],
-  fromMs: number,
-): number {
-  const counted = arrivedAtMs.filter((atMs) => atMs >= fromMs);
-  return Math.max(
-    0,
-    ...counted.map((startMs) =>
-      counted.filter((atMs) => atMs >= startMs && atMs < startMs + WINDOW_MS)
-        .length
-    ),
-  );
-}
-
-/** Limits of all instances of a fleet, on a clock that the test moves. */
-function createFleet(instanceCount: number) {
-  const clock = { now: 0, nowMs: () => clock.now, wallMs: () => clock.now };
-  const domains = ["a", "b", "c", "d", "e", "f"];
-  const names = Array.from({ length: instanceCount }, (_, i) => `i-${i}`);
-  const membersOf = (domain: string) =>
-    names.filter((_, i) => domains[i % domains.length] === domain);
-  const limits = names.map((self, i) => {
-    const domain = domains[i % domains.length]!;
-    const position = { domain, domains, self, members: membersOf(domain) };
-    const getFleetPosition = () => position;
-    return TargetLimits.createTargetLimits({ clock, getFleetPosition });
-  });
-  return { clock, limits };
-}
-
 describe("instances that know the rate of a target", () => {
   for (const instanceCount of [1, 3, 11, 62, 195]) {
     for (const perS of [0.25, 1, 7, 10.8, 40]) {
       it(`send it no more than ${perS} a second, ${instanceCount} instances, also after a pause`, () => {
-        const { clock, limits } = createFleet(instanceCount);
+        const { clock, limits } = LimitsFleet.createFleet(instanceCount);
         const sentAtMs: number[] = [];
         for (const limit of limits) limit.recordResponse("t", perS);
         for (; clock.now < 40_000; clock.now += 20) {
@@ -61,9 +27,8 @@
             sentAtMs.push(clock.now);
           }
         }
-        const allowed = ALLOWED_FACTOR * perS * WINDOW_MS / 1_000 +
-          ALLOWED_EXTRA;
-        expect(countBusiestWindow(sentAtMs, 0)).toBeLessThanOrEqual(allowed);
+        expect(LimitsFleet.countBusiestWindow(sentAtMs, 0))
+          .toBeLessThanOrEqual(LimitsFleet.getAllowed(perS));
         // Six domains hold the permits, also those without an instance.
         const usedShare = Math.min(instanceCount, 6) / 6;
         expect(sentAtMs.length).toBeGreaterThan(perS * 18 * usedShare / 2);
@@ -72,7 +37,7 @@
   }
 
   it("learn from a peer that it names none any more, without a permit of their own", () => {
-    const { clock, limits } = createFleet(195);
+    const { clock, limits } = LimitsFleet.createFleet(195);
     for (const limit of limits) limit.recordResponse("t", 1);
     clock.now = 5_000;
     const isHeldBack = limits.map((limit) => !limit.canSend("t"));
@@ -128,11 +93,13 @@
       const sending = sendSteadily();
       const perS = 4;
       limited.setRateLimit(perS);
-      await sleep(WINDOW_MS);
+      await sleep(LimitsFleet.WINDOW_MS);
       const fromMs = performance.now();
-      await sleep(2 * WINDOW_MS);
-      const allowed = ALLOWED_FACTOR * perS * WINDOW_MS / 1_000 + ALLOWED_EXTRA;
-      const busiest = countBusiestWindow(limited.arrivedAtMs, fromMs);
+      await sleep(2 * LimitsFleet.WINDOW_MS);
+      const busiest = LimitsFleet.countBusiestWindow(
+        limited.arrivedAtMs,
+        fromMs,
+      );
       limited.setRateLimit(undefined);
       // Keys of the limited target stay for a while at the one that served them meanwhile.
       firstKey = 1_000;
@@ -141,9 +108,9 @@
       await sleep(2_000);
       isSending = false;
       await sending;
-      expect(busiest).toBeLessThanOrEqual(allowed);
+      expect(busiest).toBeLessThanOrEqual(LimitsFleet.getAllowed(perS));
       expect(busiest).toBeGreaterThanOrEqual(perS);
-      expect(countBusiestWindow(limited.arrivedAtMs, liftedFromMs))
+      expect(LimitsFleet.countBusiestWindow(limited.arrivedAtMs, liftedFromMs))
         .toBeGreaterThan(2 * perS * 2);
       expect(new Set(statuses)).toEqual(new Set([200]));
     },
