Accept what the kernel holds before the daemon's listener closes

Callers saw a reset in place of a response when an instance of the product's own path stopped: the event loop accepts one connection in an iteration, and what the kernel still holds is reset when the listener closes. Known by reading until now. Change: the daemon closes as the gateway does (http_connections.ts), and the drain begins with the next iteration. The gateway calls the drain from a timer, where the iteration looks for connections next.

--- a/src/daemon/servers.ts
+++ b/src/daemon/servers.ts
@@ -3,6 +3,7 @@
 import type * as Net from "node:net";
 import type * as Contracts from "../contracts.ts";
 import * as Respond from "../forward/respond.ts";
+import * as HttpConnections from "../http_connections.ts";
 import type * as Log from "../log.ts";
 import type * as Types from "../types.ts";
 
@@ -20,7 +21,7 @@
   getInFlight(): number;
   /** Makes each following response close its connection. */
   setClosing(): void;
-  /** Stops accepting connections, closes idle ones, and resolves when all have closed. */
+  /** Accepts the connections that the kernel holds, stops accepting, closes idle ones, and resolves when all have closed. */
   close(): Promise<void>;
 }
 
@@ -122,6 +123,7 @@
       onRequest(req, res);
     },
   );
+  const connections = HttpConnections.trackConnections(server);
   server.maxConnections = MAX_CONNECTIONS;
   server.on(
     "clientError",
@@ -136,10 +138,7 @@
     },
     close() {
       isClosing = true;
-      return new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
-      });
+      return new Promise((resolve) => void connections.stop(resolve));
     },
   };
 }
--- a/src/http_connections.ts
+++ b/src/http_connections.ts
@@ -125,10 +125,14 @@
    */
   async function drainAcceptQueue(): Promise<void> {
     const untilMs = performance.now() + MAX_ACCEPT_DRAIN_MS;
+    const endIteration = () =>
+      new Promise<void>((resolve) => setImmediate(resolve));
+    // The current iteration may have looked for connections before.
+    await endIteration();
     for (;;) {
       const activityBefore = activityCount;
       const startedAtMs = performance.now();
-      await new Promise((resolve) => setImmediate(resolve));
+      await endIteration();
       const endedAtMs = performance.now();
       const isQueueEmpty = activityCount === activityBefore &&
         endedAtMs - startedAtMs < SHORT_ITERATION_MS;
