Count the requests of a pipeline as ended when their caller disconnects

Cause: the daemon counts a request until its response closes, and in a pipeline only the first response closes with the connection. A caller that left with two requests under way left one counted for ever, and a planned stop waited 60 s for it. Change: the requests of a connection end with it. The gateway counts them alike for two log lines only, and its stop goes by connections.

--- a/src/daemon/servers.ts
+++ b/src/daemon/servers.ts
@@ -97,7 +97,6 @@
   address: Types.Address,
   onRequest: (req: Http.IncomingMessage, res: Http.ServerResponse) => void,
 ): Promise<HttpListener> {
-  let inFlight = 0;
   let isClosing = false;
   /** Number of requests in progress per connection. */
   const requestCounts = new Map<Net.Socket, number>();
@@ -110,11 +109,9 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     },
     (req, res) => {
-      inFlight++;
       const { socket } = req;
       requestCounts.set(socket, (requestCounts.get(socket) ?? 0) + 1);
       res.once("close", () => {
-        inFlight--;
         const remaining = (requestCounts.get(socket) ?? 0) - 1;
         if (remaining > 0) requestCounts.set(socket, remaining);
         else requestCounts.delete(socket);
@@ -124,6 +121,10 @@
     },
   );
   const connections = HttpConnections.trackConnections(server);
+  // In a pipeline only the first response closes with the connection.
+  server.on("connection", (socket: Net.Socket) => {
+    socket.once("close", () => requestCounts.delete(socket));
+  });
   server.maxConnections = MAX_CONNECTIONS;
   server.on(
     "clientError",
@@ -132,7 +133,8 @@
   );
   return {
     address: await listen(server, address),
-    getInFlight: () => inFlight,
+    getInFlight: () =>
+      [...requestCounts.values()].reduce((sum, count) => sum + count, 0),
     setClosing() {
       isClosing = true;
     },
--- a/tests/listener_stop_test.ts
+++ b/tests/listener_stop_test.ts
@@ -22,10 +22,10 @@
   };
 }
 
-describe("the callers' listener, when it closes", () => {
+describe("the callers' listener", () => {
   // The event loop accepts one connection in an iteration; those that the kernel holds
   // are reset when the listener closes.
-  it("responds to requests on connections that it has not accepted yet", async () => {
+  it("responds, when it closes, to requests on connections that it has not accepted yet", async () => {
     const listener = await Servers.startCallerListener("127.0.0.1:0", {
       lookup: (_req, res) => void res.end("{}"),
       service: () => Promise.resolve(),
@@ -40,4 +40,21 @@
     const statuses = responses.map((response) => response.slice(0, 15));
     expect(statuses).toEqual(Array(CALLERS).fill("HTTP/1.1 200 OK"));
   });
+
+  // Guards against a planned stop that waits for a minute for requests that have ended:
+  // only the first response of a pipeline closes with its connection.
+  it("has no request in flight after the caller of a pipeline disconnected", async () => {
+    const listener = await Servers.startCallerListener("127.0.0.1:0", {
+      lookup: () => {},
+      service: () => Promise.resolve(),
+    }, quietLog);
+    const { host, port } = Servers.parseHostPort(listener.address);
+    const socket = Net.connect({ host, port });
+    const request = "GET /v1/lookup HTTP/1.1\r\nhost: any\r\n\r\n";
+    socket.write(request + request);
+    await expect.poll(() => listener.getInFlight()).toBe(2);
+    socket.destroy();
+    await expect.poll(() => listener.getInFlight()).toBe(0);
+    await listener.close();
+  });
 });
