Log the store's generation, the revision of a full read and the items that have no effect

No decision changed. Ruled out: a watch that goes on (all watches got 410), and a version that is refused (the item never reaches the state).

--- a/src/gateway/contracts.ts
+++ b/src/gateway/contracts.ts
@@ -6,15 +6,9 @@
 /** The platform's metadata store. Its promises never reject; each call ends within its timeout. */
 export interface MetadataStore {
   /** Reads all items under a prefix and the revision from which a watch may continue. */
-  readAll(prefix: string): Promise<
-    Result<
-      {
-        readonly items: readonly GatewayTypes.StoreItem[];
-        readonly revision: number;
-      },
-      ResultCodes.Failure
-    >
-  >;
+  readAll(
+    prefix: string,
+  ): Promise<Result<GatewayTypes.PrefixListing, ResultCodes.Failure>>;
   /** Reads all items under a prefix; they may be seconds old. Costs the store less than `readAll`. */
   readAllStale(prefix: string): Promise<
     Result<readonly GatewayTypes.StoreItem[], ResultCodes.Failure>
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -92,6 +92,7 @@
   let failedUntilMs = -Infinity;
   let freshPeerReportAtMs = -Infinity;
   let itemsFromStore = 0;
+  let storeGeneration: number | undefined;
   const roleChanges = Tasks.createNotifier();
   let wasReader = false;
 
@@ -131,6 +132,16 @@
     failingSinceMs = undefined;
   }
 
+  /** Logs that the store was restored from a copy. */
+  function recordGeneration(generation: number): void {
+    if (generation === storeGeneration) return;
+    if (storeGeneration !== undefined) {
+      const revisions = items.getRevisions().join(",");
+      log.warn("store-restored", { generation, revisions });
+    }
+    storeGeneration = generation;
+  }
+
   function recordFailure(detail: string): void {
     if (failingSinceMs !== undefined) return;
     failingSinceMs = clock.nowMs();
@@ -138,6 +149,21 @@
     log.warn("store-lost", { detail, revisions });
   }
 
+  /** Logs received items that have no effect although the store's value differs from the one in force. */
+  function logIgnored(received: readonly GatewayTypes.StoreItem[]): void {
+    const values = new Map(
+      items.getAll().map(({ key, value }) => [key, value]),
+    );
+    const ignored = received.filter(({ key, value }) =>
+      values.get(key) !== value
+    );
+    if (ignored.length === 0) return;
+    const last = ignored.map(({ key, revision }) => `${key}@${revision}`).at(
+      -1,
+    );
+    log.info("items-ignored", { count: ignored.length, last });
+  }
+
   /** Applies the items of a store response and reports the changes. */
   function applyFromStore(
     received: readonly GatewayTypes.StoreItem[],
@@ -146,6 +172,7 @@
     itemsFromStore += received.length;
     const before = items.getRevisions();
     const changes = apply();
+    if (changes.length < received.length) logIgnored(received);
     applyToState(changes);
     if (changes.length > 0) opts.onChanges(changes, before);
   }
@@ -193,7 +220,9 @@
       const result = await store.readAll(prefix);
       if (result.isErr()) return handleFailure(result.error.detail);
       recordResponse();
-      const { items: received, revision } = result.value;
+      const { generation, items: received, revision } = result.value;
+      recordGeneration(generation);
+      log.info("prefix-read", { prefix, generation, revision });
       applyFromStore(
         received,
         () => items.replaceAll(prefix, received, revision),
@@ -209,6 +238,7 @@
       // continues from the same revision and misses nothing.
       if (result.isErr()) return handleFailure(result.error.detail);
       recordResponse();
+      recordGeneration(result.value.generation);
       if (result.value.kind === "history-gone") {
         log.info("store-history-gone", { prefix, after: since });
         afterRevision = undefined;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -124,6 +124,15 @@
   readonly revision: number;
 }
 
+/** All items of the store under a prefix. */
+export interface PrefixListing {
+  readonly items: readonly StoreItem[];
+  /** Revision from which a watch may continue. */
+  readonly revision: number;
+  /** The store's generation, which rises each time that the store is restored from a copy. Revisions of two generations can't be compared. */
+  readonly generation: number;
+}
+
 /** Result of one watch of the store. */
 export type WatchResponse =
   | {
@@ -131,9 +140,10 @@
     readonly items: readonly StoreItem[];
     /** Revision from which the next watch continues. */
     readonly revision: number;
+    readonly generation: number;
   }
   /** The store no longer has the history since the requested revision: the prefix must be read again. */
-  | { readonly kind: "history-gone" };
+  | { readonly kind: "history-gone"; readonly generation: number };
 
 /** Fields of a caller's request that the gateway uses, independent of the header names. */
 export interface CallerFields {
