--- a/testing/kv/kv_store.ts
+++ b/testing/kv/kv_store.ts
@@ -1,7 +1,7 @@
 /**
  * Stand-in for the users' key-value store, written from its published protocol:
  * keys, ranges in pages, watches, conditional writes, leases. Tests can make it
- * refuse, fall silent, lose answers and forget its history.
+ * refuse, fall silent, lose answers, forget its history and return from a copy.
  */
 import * as Http from "node:http";
 import type * as Net from "node:net";
@@ -26,11 +26,24 @@
   compact(): void;
   /** Ends a lease and removes its keys. */
   endLeases(): void;
+  /** Copies what the store holds now. */
+  copy(): StoreCopy;
+  /** Returns to a copy: later writes and leases are gone, their revisions are given out again, connections are reset. */
+  restore(copy: StoreCopy): void;
   /** Calls by path. */
   getCalls(): ReadonlyMap<string, number>;
   close(): Promise<void>;
 }
 
+/** What the store held at some moment. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, Item>;
+  readonly leases: ReadonlyMap<number, number>;
+  readonly history: readonly Event[];
+  readonly revision: number;
+  readonly nextLease: number;
+}
+
 interface Item {
   readonly key: string;
   readonly value: string;
@@ -56,8 +69,10 @@
   opts: { readonly pageItems?: number } = {},
 ): Promise<KvStore> {
   const pageItems = opts.pageItems ?? 500;
-  const items = new Map<string, Item>();
-  const leases = new Map<number, number>();
+  let items = new Map<string, Item>();
+  let leases = new Map<number, number>();
+  /** Rises with each restore. */
+  let era = 1;
   const calls = new Map<string, number>();
   const waiters = new Set<Waiter>();
   const sockets = new Set<Net.Socket>();
@@ -124,7 +139,7 @@
     answer: Waiter["answer"],
   ): void {
     const after = Number(query.get("after"));
-    if (after < historyStart) return answer(410, {});
+    if (after < historyStart || after > revision) return answer(410, {});
     const prefix = query.get("pathPrefix") ?? "";
     const waiter: Waiter = { prefix, after, answer };
     if (tryWake(waiter)) return;
@@ -200,7 +215,10 @@
     req.on("end", () => {
       const answer = (status: number, value: unknown) => {
         if (mode === "losing-answers") return void req.socket.destroy();
-        res.writeHead(status, { "content-type": "application/json" });
+        res.writeHead(status, {
+          "content-type": "application/json",
+          "Store-Era": String(era),
+        });
         res.end(JSON.stringify(value));
       };
       if (mode === "silent") return;
@@ -245,6 +263,22 @@
     endLeases() {
       for (const lease of [...leases.keys()]) endLease(lease);
     },
+    copy: () => ({
+      items: new Map(items),
+      leases: new Map(leases),
+      history: [...history],
+      revision,
+      nextLease,
+    }),
+    restore(copy) {
+      items = new Map(copy.items);
+      leases = new Map(copy.leases);
+      history = [...copy.history];
+      ({ revision, nextLease } = copy);
+      era++;
+      waiters.clear();
+      sockets.forEach((socket) => socket.destroy());
+    },
     getCalls: () => calls,
     close() {
       sockets.forEach((socket) => socket.destroy());
