Order the store's items across its restores

Callers saw requests handled by a configuration that had been replaced, for as long as the instance ran. Cause: items, peers' messages and watches went by the store's count of changes, which falls back when the store is restored; what is written again under a count that was given out before was taken for an old copy (trace: op/config@57 ignored, 57 known). The class: an order of versions that holds in one life of the store only. Change: a revision holds the store's generation and its count, so all that compares revisions is right across restores; the store client reports lost history when the generation of a watch has ended. A new generation ends the other watches, and the first watch after a failure doesn't wait: a store that has counted up to the known revision again would report nothing for 5 s.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -9,6 +9,7 @@
 import type * as Supervisor from "../supervisor.ts";
 import type * as Contracts from "./contracts.ts";
 import type * as ItemsModule from "./items.ts";
+import * as Revision from "./revision.ts";
 import type * as StateModule from "./state.ts";
 import type * as GatewayTypes from "./types.ts";
 
@@ -17,6 +18,12 @@
  * the watch ends, peers report the changes; without peers the next watch finds them.
  */
 const WATCH_WAIT_MS = 5_000;
+/**
+ * Duration of the first watch after a failed one. Its response shows at once whether
+ * the store was restored meanwhile, even if it has counted up to the known revision
+ * again and would have nothing to report.
+ */
+const PROBE_WAIT_MS = 1;
 const RETRY_MIN_MS = 100;
 /** The store's recovery must be noticed well within the 2 s in which entries may reappear. */
 const RETRY_MAX_MS = 400;
@@ -92,8 +99,9 @@
   let failedUntilMs = -Infinity;
   let freshPeerReportAtMs = -Infinity;
   let itemsFromStore = 0;
-  let storeGeneration: number | undefined;
   const roleChanges = Tasks.createNotifier();
+  /** Aborts the watches that wait for changes of a generation that the store has left. */
+  let previousGeneration = new AbortController();
   let wasReader = false;
 
   function isFailing(): boolean {
@@ -132,21 +140,31 @@
     failingSinceMs = undefined;
   }
 
-  /** Logs that the store was restored from a copy. */
-  function recordGeneration(generation: number): void {
-    if (generation === storeGeneration) return;
-    if (storeGeneration !== undefined) {
-      const revisions = items.getRevisions().join(",");
-      log.warn("store-restored", { generation, revisions });
-    }
-    storeGeneration = generation;
+  function getKnownGeneration(): number {
+    return Revision.getGeneration(Math.max(...items.getRevisions()));
+  }
+
+  /** Runs `apply`; ends the watches of the previous generation if it adds the first items of a restored store. */
+  function applyAcrossRestore<T>(apply: () => T): T {
+    const revisions = items.getRevisions();
+    const generation = getKnownGeneration();
+    const result = apply();
+    const isFirst = revisions.every((revision) => revision === 0);
+    if (isFirst || getKnownGeneration() === generation) return result;
+    log.warn("store-restored", {
+      before: revisions.map(Revision.formatRevision).join(","),
+      now: items.getRevisions().map(Revision.formatRevision).join(","),
+    });
+    previousGeneration.abort();
+    previousGeneration = new AbortController();
+    return result;
   }
 
   function recordFailure(detail: string): void {
     if (failingSinceMs !== undefined) return;
     failingSinceMs = clock.nowMs();
-    const revisions = items.getRevisions().join(",");
-    log.warn("store-lost", { detail, revisions });
+    const revisions = items.getRevisions().map(Revision.formatRevision);
+    log.warn("store-lost", { detail, revisions: revisions.join(",") });
   }
 
   /** Logs received items that have no effect although the store's value differs from the one in force. */
@@ -158,10 +176,11 @@
       values.get(key) !== value
     );
     if (ignored.length === 0) return;
-    const last = ignored.map(({ key, revision }) => `${key}@${revision}`).at(
-      -1,
-    );
-    log.info("items-ignored", { count: ignored.length, last });
+    const { key, revision } = ignored.at(-1)!;
+    log.info("items-ignored", {
+      count: ignored.length,
+      last: `${key}@${Revision.formatRevision(revision)}`,
+    });
   }
 
   /** Applies the items of a store response and reports the changes. */
@@ -171,7 +190,7 @@
   ): void {
     itemsFromStore += received.length;
     const before = items.getRevisions();
-    const changes = apply();
+    const changes = applyAcrossRestore(apply);
     if (changes.length < received.length) logIgnored(received);
     applyToState(changes);
     if (changes.length > 0) opts.onChanges(changes, before);
@@ -191,14 +210,20 @@
     let afterRevision: number | undefined;
     let retryMs = RETRY_MIN_MS;
     let batchDelayMs = 0;
+    let hasFailed = false;
+    let generationSignal = previousGeneration.signal;
+    let combinedSignal = AbortSignal.any([signal, generationSignal]);
     while (!signal.aborted) {
       if (!opts.isReader()) {
         await waitForRole();
         continue;
       }
-      const ok = afterRevision === undefined
+      const isCurrent = afterRevision !== undefined &&
+        Revision.getGeneration(afterRevision) === getKnownGeneration();
+      const ok = afterRevision === undefined || !isCurrent
         ? await readWhole()
         : await watchOnce(afterRevision);
+      hasFailed = !ok;
       if (ok) {
         retryMs = RETRY_MIN_MS;
         continue;
@@ -220,9 +245,9 @@
       const result = await store.readAll(prefix);
       if (result.isErr()) return handleFailure(result.error.detail);
       recordResponse();
-      const { generation, items: received, revision } = result.value;
-      recordGeneration(generation);
-      log.info("prefix-read", { prefix, generation, revision });
+      const { items: received, revision } = result.value;
+      const asOf = Revision.formatRevision(revision);
+      log.info("prefix-read", { prefix, asOf });
       applyFromStore(
         received,
         () => items.replaceAll(prefix, received, revision),
@@ -231,16 +256,27 @@
       return true;
     }
 
+    /** Combines the signals once for all watches of a generation: the combination stays allocated as long as its sources. */
+    function getWatchSignal(): AbortSignal {
+      if (generationSignal !== previousGeneration.signal) {
+        generationSignal = previousGeneration.signal;
+        combinedSignal = AbortSignal.any([signal, generationSignal]);
+      }
+      return combinedSignal;
+    }
+
     async function watchOnce(since: number): Promise<boolean> {
-      const result = await store.watch(prefix, since, WATCH_WAIT_MS, signal);
-      if (signal.aborted) return true;
+      const waitMs = hasFailed ? PROBE_WAIT_MS : WATCH_WAIT_MS;
+      const watchSignal = getWatchSignal();
+      const result = await store.watch(prefix, since, waitMs, watchSignal);
+      if (watchSignal.aborted) return true;
       // A watch may be reset or time out while the store is healthy. The next watch
       // continues from the same revision and misses nothing.
       if (result.isErr()) return handleFailure(result.error.detail);
       recordResponse();
-      recordGeneration(result.value.generation);
       if (result.value.kind === "history-gone") {
-        log.info("store-history-gone", { prefix, after: since });
+        const after = Revision.formatRevision(since);
+        log.info("store-history-gone", { prefix, after });
         afterRevision = undefined;
         return true;
       }
@@ -270,7 +306,7 @@
     },
     handlePeerItems(received, graceMs) {
       if (graceMs > 0) startEntryGrace(graceMs);
-      const changes = items.apply(received);
+      const changes = applyAcrossRestore(() => items.apply(received));
       applyToState(changes);
       return changes;
     },
--- a/src/gateway/item_sync.ts
+++ b/src/gateway/item_sync.ts
@@ -11,6 +11,7 @@
 import type * as Types from "../types.ts";
 import type * as Feed from "./feed.ts";
 import * as ItemsModule from "./items.ts";
+import * as Revision from "./revision.ts";
 import type * as StateModule from "./state.ts";
 import type * as GatewayTypes from "./types.ts";
 
@@ -91,7 +92,7 @@
     }
     log.info("items-from-peer", {
       peer,
-      after: after.join(","),
+      after: after.map(Revision.formatRevision).join(","),
       news: changeCount,
     });
   }
--- a/src/gateway/items.ts
+++ b/src/gateway/items.ts
@@ -2,6 +2,8 @@
  * The store's items as this instance knows them, by key and revision. Items arrive
  * from the store's watch, from a full read or from a peer, in any order. For each
  * key the highest revision wins, so an item never reverts to an older revision.
+ * Revisions also order what was written before and after a restore of the store
+ * (`revision.ts`).
  *
  * Each prefix has its own watch, so the items are complete up to one revision per
  * prefix, not up to one revision for all prefixes.
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -120,7 +120,7 @@
   readonly key: string;
   /** Undefined when the item was deleted. */
   readonly value: string | undefined;
-  /** Store revision of its last change. */
+  /** Revision of its last change (`revision.ts`). */
   readonly revision: number;
 }
 
@@ -129,8 +129,6 @@
   readonly items: readonly StoreItem[];
   /** Revision from which a watch may continue. */
   readonly revision: number;
-  /** The store's generation, which rises each time that the store is restored from a copy. Revisions of two generations can't be compared. */
-  readonly generation: number;
 }
 
 /** Result of one watch of the store. */
@@ -140,10 +138,9 @@
     readonly items: readonly StoreItem[];
     /** Revision from which the next watch continues. */
     readonly revision: number;
-    readonly generation: number;
   }
-  /** The store no longer has the history since the requested revision: the prefix must be read again. */
-  | { readonly kind: "history-gone"; readonly generation: number };
+  /** The store no longer has the history since the requested revision, or was restored from a copy: the prefix must be read again. */
+  | { readonly kind: "history-gone" };
 
 /** Fields of a caller's request that the gateway uses, independent of the header names. */
 export interface CallerFields {
--- a/tests/gateway/items_test.ts
+++ b/tests/gateway/items_test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "vitest";
 import * as Items from "../../src/gateway/items.ts";
+import * as Revision from "../../src/gateway/revision.ts";
 import * as ManualTime from "../../testing/fakes/manual_time.ts";
 
 describe("store items", () => {
@@ -29,6 +30,19 @@
     expect(items.getAll()).toEqual([]);
   });
 
+  // Guards against writes without effect after the store's counter of changes fell back.
+  it("prefer what a restored store holds, also under a lower count", () => {
+    const { items } = create();
+    const lost = Revision.createRevision(1, 57);
+    const written = Revision.createRevision(2, 50);
+    items.apply([put("a/1", lost), put("a/2", lost)]);
+    items.apply([deletion("a/2", lost + 1)]);
+    const restored = [put("a/1", written), put("a/2", written)];
+    expect(items.replaceAll("a/", restored, written + 3)).toEqual(restored);
+    expect(items.apply([put("a/1", lost + 9)])).toEqual([]);
+    expect(Revision.formatRevision(items.getRevisions()[0]!)).toBe("2:50");
+  });
+
   // Guards against targets that stay in use although they were removed while the
   // store's history was lost.
   it("delete what a full read no longer contains", () => {
--- a/tests/platform/adapter_test.ts
+++ b/tests/platform/adapter_test.ts
@@ -252,6 +252,22 @@
       .toEqual(["s/1", "s/2", "s/3", "s/4"]);
   });
 
+  // Guards against a watch that goes on from a count that the restored store gave out again.
+  it("reports lost history after a restore, also at the same count of changes", async () => {
+    const copy = kv.copy();
+    kv.put("s/1", "lost");
+    const before = (await store.readAll("s/")).unwrap();
+    kv.restore(copy);
+    kv.put("s/1", "again");
+    kv.put("s/2", "new");
+    const watched = await store.watch("s/", before.revision, 1, neverAborted);
+    expect(watched.unwrap().kind).toBe("history-gone");
+    const after = (await store.readAll("s/")).unwrap();
+    expect(after.revision).toBeGreaterThan(before.revision);
+    expect(after.items[0]!.revision)
+      .toBeGreaterThan(before.items[0]!.revision);
+  });
+
   it("receives changes and deletions after a revision", async () => {
     kv.put("s/1", "old");
     const { revision } = (await store.readAll("s/")).unwrap();
