--- a/tests/gateway/restored_store_test.ts
+++ b/tests/gateway/restored_store_test.ts
@@ -1,4 +1,5 @@
-import { describe, it } from "vitest";
+import { describe, expect, it } from "vitest";
+import * as Clock from "../../src/clock.ts";
 import * as Cleanups from "../support/cleanups.ts";
 import * as Rig from "../support/gateway_rig.ts";
 
@@ -68,4 +69,100 @@
       async () => (await send(front, "/read/x")).status === 200,
     );
   });
+
+  describe("before targets and operators have written again", () => {
+    const OBSERVATION_MS = 1_500;
+
+    /** Sends requests for a while; returns the statuses and the targets that responded. */
+    async function observe(address: string) {
+      const seen = new Set<string>();
+      const endMs = performance.now() + OBSERVATION_MS;
+      while (performance.now() < endMs) {
+        const { body, status } = await send(address, "/read/x");
+        seen.add(status === 200 ? body.split(" ")[0]! : String(status));
+        await Clock.sleep(20);
+      }
+      return [...seen];
+    }
+
+    // Guards against requests to a target that had begun to leave.
+    it("doesn't make a leaving target usable again", async () => {
+      const { front, kv, targets } = await startFleet();
+      await send(front, "/read/x");
+      const [primary, other] = targets.toSorted((a, b) =>
+        b.ran.length - a.ran.length
+      );
+      const copy = kv.copy();
+      primary!.register("draining");
+      await until(
+        "another target serves",
+        async () => (await send(front, "/read/x")).body.startsWith(other!.id),
+      );
+      kv.restore(copy);
+      expect(await observe(front)).toEqual([other!.id]);
+    });
+
+    // Guards against requests to a target that has ended.
+    it("doesn't make a removed target usable again", async () => {
+      const { front, kv } = await startFleet({ targets: 1 });
+      const copy = kv.copy();
+      kv.remove("servers/i-0");
+      await until(
+        "no target is left",
+        async () => (await send(front, "/read/x")).status === 503,
+      );
+      kv.restore(copy);
+      expect(await observe(front)).toEqual(["503"]);
+    });
+
+    // Guards against capacity that is lost although its target lives.
+    it("keeps a target whose entry was lost", async () => {
+      const { front, kv, targets } = await startFleet({ targets: 1 });
+      kv.remove("servers/i-0");
+      await until(
+        "no target is left",
+        async () => (await send(front, "/read/x")).status === 503,
+      );
+      const copy = kv.copy();
+      targets[0]!.register();
+      await until(
+        "the target serves",
+        async () => (await send(front, "/read/x")).status === 200,
+      );
+      kv.restore(copy);
+      expect(await observe(front)).toEqual(["i-0"]);
+    });
+
+    // Guards against requests to a domain that is evacuated.
+    it("doesn't end an evacuation", async () => {
+      const { front, kv } = await startFleet();
+      const copy = kv.copy();
+      kv.put("op/evacuate/north-a", "{}");
+      await until(
+        "the domain is evacuated",
+        async () => (await send(front, "/read/x")).status === 503,
+      );
+      kv.restore(copy);
+      expect(await observe(front)).toEqual(["503"]);
+    });
+
+    it("ends an evacuation that is taken back after the restore", async () => {
+      const { front, kv } = await startFleet();
+      const copy = kv.copy();
+      kv.put("op/evacuate/north-a", "{}");
+      await until(
+        "the domain is evacuated",
+        async () => (await send(front, "/read/x")).status === 503,
+      );
+      kv.restore(copy);
+      await Clock.sleep(500);
+      kv.put("op/evacuate/north-a", "{}");
+      await Clock.sleep(500);
+      kv.remove("op/evacuate/north-a");
+      await until(
+        "requests are served again",
+        async () => (await send(front, "/read/x")).status === 200,
+      );
+    });
+  });
 });
