--- a/tests/gateway/restored_store_test.ts
+++ b/tests/gateway/restored_store_test.ts
@@ -70,6 +70,17 @@
     );
   });
 
+  // Guards against instances that start afterwards and find no peers.
+  it("gets the records of all instances again", async () => {
+    const { kv } = await startFleet({ instances: 2 });
+    const getMembers = () =>
+      kv.getKeys().filter((key) => key.startsWith("anvilroute/members/"));
+    const copy = kv.copy();
+    await until("both records are written", () => getMembers().length === 2);
+    kv.restore({ ...copy, items: new Map() });
+    await until("both records are back", () => getMembers().length === 2);
+  });
+
   describe("before targets and operators have written again", () => {
     const OBSERVATION_MS = 1_500;
 
--- a/tests/platform/adapter_test.ts
+++ b/tests/platform/adapter_test.ts
@@ -319,6 +319,42 @@
     expect(busy.isErr() && busy.error.code.name).toBe("store-unreachable");
   });
 
+  describe("after a restore that lost its lease", () => {
+    /** Grants a lease, loses it, and grants its number to another instance. */
+    async function loseLease() {
+      const copy = kv.copy();
+      const lease = (await store.grantLease(10_000)).unwrap();
+      await store.put("own/me", "1", lease);
+      kv.restore(copy);
+      const otherStore = Store.createStore(kv.address, "127.0.0.1");
+      const otherLease = (await otherStore.grantLease(10_000)).unwrap();
+      await otherStore.put("own/other", "2", otherLease);
+      await otherStore.close();
+      return lease;
+    }
+
+    // Guards against an instance whose record is missing for as long as another one
+    // renews the lease with the same number.
+    it("reports the lease as lapsed although another one has its number", async () => {
+      const lease = await loseLease();
+      const renewed = await store.renewLease(lease);
+      expect(renewed.isErr() && renewed.error.code.name).toBe("lease-lapsed");
+    });
+
+    it("reports a write under the lease as failed, so that it is written again under its own", async () => {
+      const lease = await loseLease();
+      const put = await store.put("own/me", "1", lease);
+      expect(put.isErr() && put.error.code.name).toBe("lease-lapsed");
+    });
+
+    // Guards against the record of another instance that vanishes when one stops.
+    it("doesn't end the lease of another instance", async () => {
+      const lease = await loseLease();
+      await store.releaseLease(lease);
+      expect(kv.get("own/other")).toBe("2");
+    });
+  });
+
   // Guards against an unresponsive connection that is reused forever.
   it("opens new connections after a time-out", async () => {
     kv.put("s/1", "a");
