--- a/src/gateway/contracts.ts
+++ b/src/gateway/contracts.ts
@@ -25,7 +25,7 @@
     key: string,
     value: string,
   ): Promise<Result<string, ResultCodes.Failure>>;
-  /** Writes a key under a lease, replacing any value; fails with `leaseLapsed` when the lease has expired. */
+  /** Writes a key under a lease, replacing any value; fails with `leaseLapsed` like `renewLease`. */
   put(
     key: string,
     value: string,
@@ -33,7 +33,7 @@
   ): Promise<Result<void, ResultCodes.Failure>>;
   /** Grants a lease and returns its id. */
   grantLease(ttlMs: number): Promise<Result<string, ResultCodes.Failure>>;
-  /** Renews a lease; fails with `leaseLapsed` when it has expired. */
+  /** Renews a lease; fails with `leaseLapsed` when it has expired, or was lost in a restore of the store. */
   renewLease(leaseId: string): Promise<Result<void, ResultCodes.Failure>>;
   releaseLease(leaseId: string): Promise<Result<void, ResultCodes.Failure>>;
   /** Usage since the start. */
--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -110,6 +110,7 @@
     restoreGuard,
     isReader: () => getReaders().includes(self),
     onChanges: (changes, before) => deferred.itemSync?.push(changes, before),
+    onRestore: () => membership.restore(),
     entryRecoveryMs: settings.timing.entryRecoveryMs,
     supervisor: supervisor.createChild("feed"),
     clock,
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -87,6 +87,8 @@
     changes: readonly GatewayTypes.StoreItem[],
     before: ItemsModule.Revisions,
   ) => void;
+  /** Called when the store was restored from a copy. */
+  readonly onRestore: () => void;
   /** Time after an outage in which entries may reappear, ms. */
   readonly entryRecoveryMs: number;
   readonly supervisor: Supervisor.Supervisor;
@@ -195,6 +197,7 @@
     });
     previousGeneration.abort();
     previousGeneration = new AbortController();
+    opts.onRestore();
     return result;
   }
 
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -9,6 +9,7 @@
 import * as Clock from "../clock.ts";
 import * as Json from "../json.ts";
 import type * as Log from "../log.ts";
+import * as Tasks from "../peer/tasks.ts";
 import type * as Supervisor from "../supervisor.ts";
 import type * as Types from "../types.ts";
 import type * as Contracts from "./contracts.ts";
@@ -28,6 +29,8 @@
 /** Interval while this instance is connected to no other; instances that start together have published their records by then. */
 const ALONE_DISCOVERY_MS = 1_500;
 const RETRY_MS = 150;
+/** Instances notice a restore together; their writes are spread over this time. */
+const RESTORE_SPREAD_MS = 500;
 
 /** A member's record, as stored. */
 export interface MemberRecord {
@@ -57,6 +60,8 @@
     record: MemberRecord,
     onMembers: (members: readonly ListedMember[]) => void,
   ): void;
+  /** Writes the record again, as the store was restored from a copy that may lack it. */
+  restore(): void;
   /** Releases the lease, so that the record is removed at once. */
   leave(): Promise<void>;
 }
@@ -80,6 +85,7 @@
   let leaseId: string | undefined;
   let isWritten = false;
   let isLeaving = false;
+  const restores = Tasks.createNotifier();
 
   async function grantLease(): Promise<void> {
     const lease = await store.grantLease(Math.max(LEASE_MS, opts.minLeaseMs));
@@ -105,6 +111,17 @@
     else if (put.error.code.name === "lease-lapsed") leaseId = undefined;
   }
 
+  /** Keeps the record until this instance stops. */
+  async function keepRecord(
+    record: MemberRecord,
+    signal: AbortSignal,
+  ): Promise<void> {
+    while (!signal.aborted) {
+      await renew(record);
+      await restores.wait(isWritten ? RENEW_MS : WRITE_RETRY_MS, signal);
+    }
+  }
+
   /** Looks for members until this instance stops. */
   async function discover(
     onMembers: (members: readonly ListedMember[]) => void,
@@ -138,16 +155,21 @@
       }
     },
     start(record, onMembers) {
-      opts.supervisor.every(
+      opts.supervisor.run(
         "member-lease",
-        () => isWritten ? RENEW_MS : WRITE_RETRY_MS,
-        () => renew(record),
+        (signal) => keepRecord(record, signal),
       );
       opts.supervisor.run(
         "member-discovery",
         (signal) => discover(onMembers, signal),
       );
     },
+    restore() {
+      leaseId = undefined;
+      isWritten = false;
+      const delayMs = RESTORE_SPREAD_MS * Math.random();
+      void Clock.sleep(delayMs).then(restores.notify);
+    },
     async leave() {
       isLeaving = true;
       if (leaseId !== undefined) await store.releaseLease(leaseId);
--- a/tests/gateway/feed_test.ts
+++ b/tests/gateway/feed_test.ts
@@ -34,6 +34,7 @@
       restoreGuard: { apply: () => {}, getHeldCount: () => 0 },
       isReader: () => isReader,
       onChanges: () => {},
+      onRestore: () => {},
       entryRecoveryMs: 2_000,
       supervisor,
       clock,
