--- a/tests/gateway/restored_store_test.ts
+++ b/tests/gateway/restored_store_test.ts
@@ -81,6 +81,46 @@
     await until("both records are back", () => getMembers().length === 2);
   });
 
+  describe("without the secret of the peers", () => {
+    async function loseSecret(fleet: Awaited<ReturnType<typeof startFleet>>) {
+      const { kv } = fleet;
+      const isOwnKey = (key: string) => key.startsWith("anvilroute/");
+      await until("the record is written", () => kv.getKeys().some(isOwnKey));
+      const copy = kv.copy();
+      const items = [...copy.items].filter(([key]) => !isOwnKey(key));
+      kv.restore({ ...copy, items: new Map(items) });
+    }
+
+    /** Waits until each instance names both in its directory. */
+    async function untilConnected(
+      { instances }: Awaited<ReturnType<typeof startFleet>>,
+    ) {
+      const path = "/anvilroute/resolve?region=north&zone=north-a";
+      for (const { directory } of instances) {
+        await until("both instances are in the directory", async () => {
+          const { body } = await send(directory, path);
+          return body.split("127.").length === 3;
+        });
+      }
+    }
+
+    // Guards against a fleet that falls into parts with different secrets.
+    it("connects to an instance that starts later", async () => {
+      const fleet = await startFleet();
+      await loseSecret(fleet);
+      await Clock.sleep(1_500);
+      await fleet.startInstance();
+      await untilConnected(fleet);
+    });
+
+    it("connects to an instance that writes another secret first", async () => {
+      const fleet = await startFleet();
+      await loseSecret(fleet);
+      await fleet.startInstance();
+      await untilConnected(fleet);
+    });
+  });
+
   describe("before targets and operators have written again", () => {
     const OBSERVATION_MS = 1_500;
 
--- a/tests/support/gateway_rig.ts
+++ b/tests/support/gateway_rig.ts
@@ -162,7 +162,8 @@
     readonly gateway: Gateway.Gateway;
     readonly lines: readonly string[];
   }[] = [];
-  for (let i = 0; i < (opts.instances ?? 1); i++) {
+  /** Starts one more instance. */
+  async function startInstance(): Promise<void> {
     const ip = createInstanceIp();
     const [address, ready, directory, peer, metrics] = [
       `${ip}:${PORTS.caller}`,
@@ -173,7 +174,7 @@
     ];
     const settings: Settings.GatewaySettings = {
       instance: {
-        id: `front-${i}`,
+        id: `front-${instances.length}`,
         domain: "north-a",
         region: "north",
         capacity: 1,
@@ -226,10 +227,12 @@
     addCleanup(gateway.close);
     instances.push({ address, ready, directory, gateway, lines });
   }
+  for (let i = 0; i < (opts.instances ?? 1); i++) await startInstance();
   if (opts.config !== null) {
     for (const { ready } of instances) await waitReady(ready);
   }
-  return { kv, targets, instances, front: instances[0]!.address };
+  const front = instances[0]!.address;
+  return { kv, targets, instances, front, startInstance };
 }
 
 /** Waits until the instance reports that it is ready; `ready` is the address that reports it. */
