Write the peers' secret again after a restore, and accept one written meanwhile

An instance that started after a restore that took the secret wrote another one and stayed alone: callers were told of it or of the others only, and it counted itself as the whole fleet. Cause: the secret was written once, at the first start, and taken for granted since. Change: with its record, an instance writes the secret again under a condition. If another one was first, it accepts both and dials with each in turn, so all connect whichever one they know; connections that are open stay. What remains: an instance that reaches its peers but not the store learns of a secret that replaced its own only when it reaches the store again.

--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -341,7 +341,10 @@
       statusGossip.start();
       const { capacity } = instance;
       connectToMembers(listedMembers);
-      membership.start({ peerAddress, domain, capacity }, connectToMembers);
+      membership.start(
+        { peerAddress, domain, capacity },
+        { onMembers: connectToMembers, onSecret: peers.addSecret },
+      );
     },
     leave: membership.leave,
     getUsage() {
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -45,6 +45,14 @@
   readonly id: Types.InstanceId;
 }
 
+/** Receives what the store holds of the other instances. */
+export interface Listeners {
+  /** Receives the listed members, including this instance. */
+  readonly onMembers: (members: readonly ListedMember[]) => void;
+  /** Receives a secret that another instance wrote after a restore had lost this instance's. */
+  readonly onSecret: (secret: string) => void;
+}
+
 /** The member record of this instance and the secret of all peers. */
 export interface Membership {
   /**
@@ -55,12 +63,9 @@
     readonly members: readonly ListedMember[];
     readonly secret: string;
   }>;
-  /** Keeps the record and its lease alive, and reports the listed members, including this instance. */
-  start(
-    record: MemberRecord,
-    onMembers: (members: readonly ListedMember[]) => void,
-  ): void;
-  /** Writes the record again, as the store was restored from a copy that may lack it. */
+  /** Keeps the record and its lease alive. */
+  start(record: MemberRecord, listeners: Listeners): void;
+  /** Writes the record and the secret again, as the store was restored from a copy that may lack them. */
   restore(): void;
   /** Releases the lease, so that the record is removed at once. */
   leave(): Promise<void>;
@@ -84,6 +89,8 @@
   const { log, self, store } = opts;
   let leaseId: string | undefined;
   let isWritten = false;
+  let secret: string | undefined;
+  let isSecretStored = true;
   let isLeaving = false;
   const restores = Tasks.createNotifier();
 
@@ -111,20 +118,35 @@
     else if (put.error.code.name === "lease-lapsed") leaseId = undefined;
   }
 
-  /** Keeps the record until this instance stops. */
-  async function keepRecord(
+  /** Writes the secret again, unless another instance that started meanwhile has written its own. */
+  async function storeSecret({ onSecret }: Listeners): Promise<void> {
+    if (isLeaving || isSecretStored || secret === undefined) return;
+    const stored = await store.create(SECRET_KEY, secret);
+    if (stored.isErr()) return;
+    isSecretStored = true;
+    if (stored.value === secret) return;
+    log.warn("peer-secret-replaced", {});
+    secret = stored.value;
+    onSecret(secret);
+  }
+
+  /** Keeps the record and the secret until this instance stops. */
+  async function keepStored(
     record: MemberRecord,
+    listeners: Listeners,
     signal: AbortSignal,
   ): Promise<void> {
     while (!signal.aborted) {
+      await storeSecret(listeners);
       await renew(record);
-      await restores.wait(isWritten ? RENEW_MS : WRITE_RETRY_MS, signal);
+      const isComplete = isWritten && isSecretStored;
+      await restores.wait(isComplete ? RENEW_MS : WRITE_RETRY_MS, signal);
     }
   }
 
   /** Looks for members until this instance stops. */
   async function discover(
-    onMembers: (members: readonly ListedMember[]) => void,
+    { onMembers }: Listeners,
     signal: AbortSignal,
   ): Promise<void> {
     for (;;) {
@@ -144,29 +166,31 @@
         if (listed.isOk()) {
           const { items } = listed.value;
           const stored = items.find(({ key }) => key === SECRET_KEY)?.value;
-          const secret = stored === undefined
+          const created = stored === undefined
             ? await store.create(SECRET_KEY, newSecret)
             : Ok(stored);
-          if (secret.isOk()) {
-            return { members: readMembers(items), secret: secret.value };
+          if (created.isOk()) {
+            secret = created.value;
+            return { members: readMembers(items), secret };
           }
         }
         await Clock.sleep(RETRY_MS * (0.5 + Math.random()));
       }
     },
-    start(record, onMembers) {
+    start(record, listeners) {
       opts.supervisor.run(
         "member-lease",
-        (signal) => keepRecord(record, signal),
+        (signal) => keepStored(record, listeners, signal),
       );
       opts.supervisor.run(
         "member-discovery",
-        (signal) => discover(onMembers, signal),
+        (signal) => discover(listeners, signal),
       );
     },
     restore() {
       leaseId = undefined;
       isWritten = false;
+      isSecretStored = false;
       const delayMs = RESTORE_SPREAD_MS * Math.random();
       void Clock.sleep(delayMs).then(restores.notify);
     },
--- a/src/peer/handshake.ts
+++ b/src/peer/handshake.ts
@@ -167,13 +167,14 @@
 
 /**
  * Authenticates as the side that accepted the connection, and returns the
- * identity of the initiator. Fails like `initiate`, and with peerMessage on
- * another protocol version.
+ * identity of the initiator. Accepts any of the secrets and proves the one that the
+ * initiator knows. Fails like `initiate`, and with peerMessage on another protocol
+ * version.
  */
 export async function accept(
   socket: LineSocket.LineSocket,
   self: Identity,
-  secret: string,
+  secrets: readonly string[],
 ): Promise<Result<Identity, ResultCodes.Failure>> {
   const helloMessage = (await readObject(socket))?.hello;
   const hello = tryReadIntroduction(helloMessage);
@@ -194,8 +195,13 @@
   };
   const response = await readObject(socket);
   if (response === undefined) return failRead(socket, "the peer's proof");
-  const expected = computeProof(secret, "initiator", transcript);
-  if (!isSameMac(response.proof, expected)) {
+  const secret = secrets.find((candidate) =>
+    isSameMac(
+      response.proof,
+      computeProof(candidate, "initiator", transcript),
+    )
+  );
+  if (secret === undefined) {
     socket.write(JSON.stringify({ error: "authentication failed" }));
     return ResultCodes.fail("peerAuth");
   }
--- a/src/peer/listener.ts
+++ b/src/peer/listener.ts
@@ -39,7 +39,8 @@
 export function createListener(args: {
   readonly listen: Types.Address;
   readonly self: Handshake.Identity;
-  readonly secret: string;
+  /** Secrets of which a peer has to know one. */
+  readonly getSecrets: () => readonly string[];
   readonly server: Connection.Server;
   readonly tasks: Tasks.TaskGroup;
   readonly serve: (conn: Connection.Connection) => Promise<void>;
@@ -90,7 +91,11 @@
     signal.addEventListener("abort", () => socket.close("stopping"));
     const openedAtMs = clock.nowMs();
     addPendingHandshake(socket);
-    const remote = await Handshake.accept(socket, args.self, args.secret);
+    const remote = await Handshake.accept(
+      socket,
+      args.self,
+      args.getSecrets(),
+    );
     pendingHandshakes.delete(socket);
     if (remote.isErr()) {
       socket.close("handshake failed");
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -55,6 +55,8 @@
   isUsable(id: Types.InstanceId): boolean;
   /** Number of peers with an open connection. */
   getConnectedCount(): number;
+  /** Accepts peers that know this secret, too. */
+  addSecret(secret: string): void;
   /** Bytes of all peer connections since the process started. */
   getBytes(): { readonly received: number; readonly sent: number };
 }
@@ -90,7 +92,8 @@
 
 /** Creates the peer network; it opens no socket before `listen()`. */
 export function createPeerNet(args: NetArgs): Net {
-  const { self, incarnation, secret, clock, log } = args;
+  const { self, incarnation, clock, log } = args;
+  const secrets = [args.secret];
   const selectPeers = args.selectPeers ??
     ((members) => Mesh.selectPeers({ id: self, domain: args.domain }, members));
   const server = Connection.createServer();
@@ -119,11 +122,13 @@
   };
   const dialer = Dialer.createDialer({
     async dial(address) {
+      const seq = ++lastSeq;
       const dialed = await Dial.dial({
         localAddress: args.localAddress,
         address,
-        self: { ...identity, seq: ++lastSeq },
-        secret,
+        self: { ...identity, seq },
+        // The acceptor may know any one of them only.
+        secret: secrets[seq % secrets.length]!,
         server,
         clock,
       });
@@ -144,7 +149,7 @@
   const listener = Listener.createListener({
     listen: args.listen,
     self: identity,
-    secret,
+    getSecrets: () => secrets,
     server,
     tasks,
     serve,
@@ -343,6 +348,7 @@
     isUsable,
     getConnectedCount: () => registry.getPreferred().length,
     getBytes: registry.getBytes,
+    addSecret: (secret) => void secrets.push(secret),
     async listen() {
       const address = await listener.listen();
       args.seeds.forEach((seed) => dialer.add(seed));
