--- a/tests/gateway/restored_store_test.ts
+++ b/tests/gateway/restored_store_test.ts
@@ -215,5 +215,37 @@
         async () => (await send(front, "/read/x")).status === 200,
       );
     });
+
+    // Guards against an instance that starts meanwhile and serves by what the copy holds.
+    it("passes what is in force to an instance that starts", async () => {
+      const { instances, kv, startInstance } = await startFleet();
+      const copy = kv.copy();
+      kv.put("op/config", formatConfig(2, { key: "k2" }));
+      kv.put("op/evacuate/north-a", "{}");
+      await until(
+        "both are in force",
+        async () => {
+          const headers = { authorization: "Bearer k2" };
+          const { address } = instances[0]!;
+          return (await send(address, "/read/x", { headers })).status === 503;
+        },
+      );
+      // The members' records are written at the start, so the copy has them.
+      const items = new Map(kv.copy().items);
+      for (const key of ["op/config", "op/evacuate/north-a"]) {
+        const item = copy.items.get(key);
+        if (item === undefined) items.delete(key);
+        else items.set(key, item);
+      }
+      kv.restore({ ...copy, items });
+      await Clock.sleep(1_500);
+      await startInstance();
+      const { address, ready } = instances[1]!;
+      await Rig.waitReady(ready);
+      const headers = { authorization: "Bearer k2" };
+      const { status } = await send(address, "/read/x", { headers });
+      expect(status).toBe(503);
+      expect((await send(address, "/read/x")).status).toBe(401);
+    });
   });
 });
