Pass what is in force against a restored store to instances that start

An instance that started before operators and targets had written again served by the configuration that the copy holds, and sent to an evacuated domain. Cause: it knew the store only; what others hold back had no place in the messages of peers. Change: a pull's response names the items that are in force instead of what the store holds, status messages name their number, and an instance that starts at a store that was restored once hears its peers first, for at most 0.8 s. What the store lacks of an earlier generation is dated to the start of its generation: dated to the first read, it passed for a deletion that was written since (found by this test: an evacuation ended at a peer).

--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -26,6 +26,7 @@
 import type * as Settings from "./settings.ts";
 import * as ItemSync from "./item_sync.ts";
 import * as RestoreGuard from "./restore_guard.ts";
+import * as Revision from "./revision.ts";
 import * as StateModule from "./state.ts";
 import * as TargetLimits from "./target_limits.ts";
 import * as Topology from "./topology.ts";
@@ -33,8 +34,11 @@
 const SECRET_BYTES = 32;
 /** The store counts as reachable for this time after a response; a watch ends with a response at least every 5 s. */
 const STORE_REACHABLE_MS = 6_000;
+/** Generation of a store that was never restored from a copy. */
+const FIRST_GENERATION = 1;
 /** Time in which an instance that starts is connected to the listed members of its domain, and receives the items that they have. */
 const CONNECT_WAIT_MS = 800;
+const PEER_POLL_MS = 25;
 /** Time for which values derived from the member list are cached; they change rarely, but each request and each status message of a peer reads them. */
 const MEMBERS_CACHE_MS = 250;
 
@@ -233,9 +237,14 @@
     log,
   });
   const newSecret = Crypto.randomBytes(SECRET_BYTES).toString("hex");
-  const { members: listedMembers, secret } = await membership.join(newSecret);
+  const joined = await membership.join(newSecret);
+  const { members: listedMembers, secret } = joined;
   deferred.joined = { members: listedMembers, atMs: clock.nowMs() };
-  feed.start();
+  // Peers may know what a restored store has lost, so they are heard first.
+  const isRestoredStore =
+    Revision.getGeneration(joined.revision) > FIRST_GENERATION;
+  const mayKnowMore = isRestoredStore && listedMembers.length > 0;
+  if (!mayKnowMore) feed.start();
   const peers = PeerNet.createPeerNet({
     self,
     incarnation,
@@ -282,6 +291,7 @@
     peers,
     items,
     feed,
+    restoreGuard,
     state,
     prefixes: opts.watchedPrefixes,
     getDomainPeers: () => fleetView.getLocalPeers().map(({ id }) => id),
@@ -295,6 +305,7 @@
     feed,
     items,
     itemSync,
+    restoreGuard,
     memberList,
     domainView,
     getDomainReport: fleetView.getDomainReport,
@@ -307,6 +318,15 @@
     clock,
   });
 
+  async function startFeedAfterPeers(): Promise<void> {
+    const deadlineMs = clock.nowMs() + CONNECT_WAIT_MS;
+    const isEmpty = () => items.getRevisions().every((known) => known === 0);
+    while (isEmpty() && clock.nowMs() < deadlineMs) {
+      await Clock.sleep(PEER_POLL_MS);
+    }
+    feed.start();
+  }
+
   /** Connects to the members that the topology selects; these report the other members. */
   function connectToMembers(members: readonly Membership.ListedMember[]): void {
     const usable = members.map((member) => ({ ...member, isUsable: true }));
@@ -345,6 +365,7 @@
         { peerAddress, domain, capacity },
         { onMembers: connectToMembers, onSecret: peers.addSecret },
       );
+      if (mayKnowMore) void startFeedAfterPeers();
     },
     leave: membership.leave,
     getUsage() {
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -62,6 +62,8 @@
   isFailing(): boolean;
   /** Records that, according to a peer, the store responded to some instance `ageMs` ago. */
   recordStoreAge(ageMs: number): void;
+  /** Puts items in force that a peer reports as superseding what the restored store holds. */
+  handleSuperseding(items: readonly GatewayTypes.StoreItem[]): void;
   /** Applies items from a peer and returns the changes; `graceMs` is how long missing entries may still reappear. */
   handlePeerItems(
     items: readonly GatewayTypes.StoreItem[],
@@ -138,23 +140,36 @@
       if (isRestored && previous?.value === value) continue;
       const change = opts.decode(item);
       if (change === undefined) continue;
-      const wasDeleted = previous !== undefined && previous.value === undefined;
-      stored.push({ key, change, isRestored, wasDeleted });
+      stored.push({ key, change, isRestored, previous });
     }
     opts.restoreGuard.apply(stored);
   }
 
-  /** Applies received items to the known ones with `apply`, and their changes to the state. */
+  function adopt(superseding: GatewayTypes.StoreItem): void {
+    const { key } = superseding;
+    const generation = Revision.getGeneration(
+      items.getRestore()?.revision ?? 0,
+    );
+    const revision = Revision.createRevision(generation, 0);
+    const item = items.tryGet(key) ?? { key, value: undefined, revision };
+    const inForce = opts.decode(superseding);
+    const change = opts.decode(item);
+    if (inForce === undefined || change === undefined) return;
+    const isRestored = items.isRestored(item, superseding);
+    const stored = { key, change, isRestored, previous: superseding };
+    opts.restoreGuard.adopt(superseding, inForce, stored);
+  }
+
+  /** Applies received items to the known ones, and their changes to the state. */
   function applyItems(
     received: readonly GatewayTypes.StoreItem[],
-    apply: () => readonly GatewayTypes.StoreItem[],
   ): readonly GatewayTypes.StoreItem[] {
     const previousItems = new Map(
       received.map(({ key }) => items.tryGet(key))
         .filter((item) => item !== undefined)
         .map((item) => [item.key, item]),
     );
-    const changes = applyAcrossRestore(apply);
+    const changes = applyAcrossRestore(received);
     if (changes.length < received.length) logIgnored(received);
     applyToState(changes, previousItems);
     return changes;
@@ -184,13 +199,15 @@
     return !isEmpty && Revision.getGeneration(revision) > getKnownGeneration();
   }
 
-  /** Runs `apply`; ends the watches of the previous generation if it adds the first items of a restored store. */
-  function applyAcrossRestore<T>(apply: () => T): T {
+  /** Applies items; ends the watches of the previous generation if they are the first ones of a restored store. */
+  function applyAcrossRestore(
+    received: readonly GatewayTypes.StoreItem[],
+  ): readonly GatewayTypes.StoreItem[] {
     const revisions = items.getRevisions();
     const generation = getKnownGeneration();
-    const result = apply();
+    const changes = items.apply(received);
     const isFirst = revisions.every((revision) => revision === 0);
-    if (isFirst || getKnownGeneration() === generation) return result;
+    if (isFirst || getKnownGeneration() === generation) return changes;
     log.warn("store-restored", {
       before: revisions.map(Revision.formatRevision).join(","),
       now: items.getRevisions().map(Revision.formatRevision).join(","),
@@ -198,7 +215,7 @@
     previousGeneration.abort();
     previousGeneration = new AbortController();
     opts.onRestore();
-    return result;
+    return changes;
   }
 
   function recordFailure(detail: string): void {
@@ -227,11 +244,10 @@
   /** Applies the items of a store response and reports the changes. */
   function applyFromStore(
     received: readonly GatewayTypes.StoreItem[],
-    apply: () => readonly GatewayTypes.StoreItem[],
   ): void {
     itemsFromStore += received.length;
     const before = items.getRevisions();
-    const changes = applyItems(received, apply);
+    const changes = applyItems(received);
     if (changes.length > 0) opts.onChanges(changes, before);
   }
 
@@ -288,10 +304,8 @@
       const asOf = Revision.formatRevision(revision);
       log.info("prefix-read", { prefix, asOf });
       if (isRestoreOf(revision)) items.recordRestore({ revision, ageMs: 0 });
-      applyFromStore(
-        received,
-        () => items.replaceAll(prefix, received, revision),
-      );
+      const deletions = items.findDeleted(prefix, received, revision);
+      applyFromStore([...received, ...deletions]);
       afterRevision = revision;
       return true;
     }
@@ -322,7 +336,7 @@
       }
       const { items: received, revision } = result.value;
       afterRevision = revision;
-      applyFromStore(received, () => items.apply(received));
+      applyFromStore(received);
       batchDelayMs = received.length === 0
         ? 0
         : Math.min(batchDelayMs + BATCH_DELAY_MS, MAX_BATCH_DELAY_MS);
@@ -344,9 +358,10 @@
       storeSeenAtMs = Math.max(storeSeenAtMs, now - ageMs);
       if (ageMs < FRESH_PEER_MS) freshPeerReportAtMs = now;
     },
+    handleSuperseding: (superseding) => superseding.forEach(adopt),
     handlePeerItems(received, graceMs) {
       if (graceMs > 0) startEntryGrace(graceMs);
-      return applyItems(received, () => items.apply(received));
+      return applyItems(received);
     },
     getStoreItemCount: () => itemsFromStore,
     start() {
--- a/src/gateway/item_sync.ts
+++ b/src/gateway/item_sync.ts
@@ -11,6 +11,7 @@
 import type * as Types from "../types.ts";
 import type * as Feed from "./feed.ts";
 import * as ItemsModule from "./items.ts";
+import type * as RestoreGuard from "./restore_guard.ts";
 import * as Revision from "./revision.ts";
 import type * as StateModule from "./state.ts";
 import type * as GatewayTypes from "./types.ts";
@@ -26,6 +27,9 @@
  */
 const PUSH_WAIT_MS = 400;
 
+/** A peer may hold more for good, as it knew more when the store was restored. */
+const HELD_PULL_INTERVAL_MS = 5_000;
+
 /** Pushes changes to peers and pulls missed items. */
 export interface ItemSync {
   /** Sends changes to the instances of the domain that do not read the store; `before` are the revisions without them. */
@@ -38,6 +42,8 @@
     peer: Types.InstanceId,
     revisions: ItemsModule.Revisions,
   ): void;
+  /** Records how many items are in force at a peer against the restored store; pulls them if this instance has fewer. */
+  recordPeerHeldCount(peer: Types.InstanceId, count: number): void;
   /** Pulls sent and items received from peers since the start. */
   getCounts(): { readonly pulls: number; readonly received: number };
 }
@@ -46,7 +52,11 @@
 export function createItemSync(opts: {
   readonly peers: PeerContracts.PeerNet;
   readonly items: ItemsModule.Items;
-  readonly feed: Pick<Feed.Feed, "handlePeerItems">;
+  readonly feed: Pick<Feed.Feed, "handlePeerItems" | "handleSuperseding">;
+  readonly restoreGuard: Pick<
+    RestoreGuard.RestoreGuard,
+    "getHeldCount" | "getSuperseding"
+  >;
   readonly state: Pick<StateModule.State, "getEntryGraceMs">;
   readonly prefixes: readonly string[];
   /** Other instances of the local domain. */
@@ -56,8 +66,9 @@
   readonly clock: Clock.Clock;
   readonly log: Log.Logger;
 }): ItemSync {
-  const { clock, feed, items, log, peers, state } = opts;
+  const { clock, feed, items, log, peers, restoreGuard, state } = opts;
   let peerAhead: PeerAhead | undefined;
+  let nextHeldPullAtMs = -Infinity;
   let isPulling = false;
   let pulls = 0;
   let received = 0;
@@ -85,6 +96,7 @@
     peerAhead = undefined;
     const changeCount = batch.isAll ? applyAll(batch) : applyBatch(batch);
     items.advanceRevisions(batch.revisions);
+    feed.handleSuperseding(batch.superseding);
     if (changeCount === 0) return;
     const domainPeers = opts.getDomainPeers();
     // A change from another domain means that the local readers missed it, so the whole domain is behind.
@@ -128,6 +140,7 @@
       revisions: items.getRevisions(),
       graceMs: getGraceMs(),
       restore: items.getRestore(),
+      superseding: restoreGuard.getSuperseding(),
     };
   }
 
@@ -189,6 +202,12 @@
       const isLocal = opts.getDomainPeers().includes(peer);
       if (hasNoItems && isLocal || now >= peerAhead.pullAtMs) void pull(peer);
     },
+    recordPeerHeldCount(peer, count) {
+      if (count <= restoreGuard.getHeldCount()) return;
+      if (clock.nowMs() < nextHeldPullAtMs) return;
+      nextHeldPullAtMs = clock.nowMs() + HELD_PULL_INTERVAL_MS;
+      void pull(peer);
+    },
     getCounts: () => ({ pulls, received }),
   };
 }
@@ -212,6 +231,8 @@
   readonly graceMs: number;
   /** Latest restore of the store that the sender knows. */
   readonly restore: ItemsModule.Restore | undefined;
+  /** Items in force at the sender instead of what the restored store holds. */
+  readonly superseding: readonly GatewayTypes.StoreItem[];
 }
 
 function tryReadBatch(raw: unknown): Batch | undefined {
@@ -224,6 +245,7 @@
     isAll: raw["isAll"] === true,
     graceMs: typeof graceMs === "number" ? graceMs : 0,
     restore: tryReadRestore(raw["restore"]),
+    superseding: readItems(raw["superseding"]),
   };
 }
 
--- a/src/gateway/items.ts
+++ b/src/gateway/items.ts
@@ -37,12 +37,6 @@
   apply(
     items: readonly GatewayTypes.StoreItem[],
   ): readonly GatewayTypes.StoreItem[];
-  /** Applies all items under a prefix as of `revision`, deletes the others there, and returns the changes. */
-  replaceAll(
-    prefix: string,
-    items: readonly GatewayTypes.StoreItem[],
-    revision: number,
-  ): readonly GatewayTypes.StoreItem[];
   /** Returns deletions for the items under a prefix that a full list as of `revision` does not contain. */
   findDeleted(
     prefix: string,
@@ -135,11 +129,11 @@
     revision: number,
   ): readonly GatewayTypes.StoreItem[] {
     const present = new Set(items.map((item) => item.key));
-    // What an earlier generation held may be missing since the restore itself.
-    const restoreRevision = Math.min(revision, restore?.revision ?? revision);
+    const generation = Revision.getGeneration(revision);
+    // What an earlier generation held is missing since the restore itself.
     const getDeletionRevision = (item: GatewayTypes.StoreItem) =>
-      Revision.getGeneration(item.revision) < Revision.getGeneration(revision)
-        ? restoreRevision
+      Revision.getGeneration(item.revision) < generation
+        ? Revision.createRevision(generation, 0)
         : revision;
     return [...storedItems.values()]
       .map(({ item }) => item)
@@ -157,8 +151,6 @@
   return {
     apply,
     findDeleted,
-    replaceAll: (prefix, items, revision) =>
-      apply([...items, ...findDeleted(prefix, items, revision)]),
     advanceRevisions(completeRevisions) {
       completeRevisions.forEach((revision, index) => {
         revisions[index] = Math.max(revisions[index] ?? 0, revision);
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -45,6 +45,14 @@
   readonly id: Types.InstanceId;
 }
 
+/** What the store holds when an instance starts. */
+export interface Joined {
+  readonly members: readonly ListedMember[];
+  readonly secret: string;
+  /** The store's revision. */
+  readonly revision: number;
+}
+
 /** Receives what the store holds of the other instances. */
 export interface Listeners {
   /** Receives the listed members, including this instance. */
@@ -59,10 +67,7 @@
    * Reads the listed members and the secret that all peers share; retries until
    * the store responds. Stores `newSecret` when there is none.
    */
-  join(newSecret: string): Promise<{
-    readonly members: readonly ListedMember[];
-    readonly secret: string;
-  }>;
+  join(newSecret: string): Promise<Joined>;
   /** Keeps the record and its lease alive. */
   start(record: MemberRecord, listeners: Listeners): void;
   /** Writes the record and the secret again, as the store was restored from a copy that may lack them. */
@@ -164,14 +169,14 @@
       for (;;) {
         const listed = await store.readAll(PREFIX);
         if (listed.isOk()) {
-          const { items } = listed.value;
+          const { items, revision } = listed.value;
           const stored = items.find(({ key }) => key === SECRET_KEY)?.value;
           const created = stored === undefined
             ? await store.create(SECRET_KEY, newSecret)
             : Ok(stored);
           if (created.isOk()) {
             secret = created.value;
-            return { members: readMembers(items), secret };
+            return { members: readMembers(items), secret, revision };
           }
         }
         await Clock.sleep(RETRY_MS * (0.5 + Math.random()));
--- a/src/gateway/restore_guard.ts
+++ b/src/gateway/restore_guard.ts
@@ -20,8 +20,8 @@
   readonly change: GatewayTypes.StateChange;
   /** True for an item that the store may hold from its copy; false for one written since the restore. */
   readonly isRestored: boolean;
-  /** True if the key was known as deleted. */
-  readonly wasDeleted: boolean;
+  /** The item that was known before, or its deletion. */
+  readonly previous: GatewayTypes.StoreItem | undefined;
 }
 
 /** Applies the store's changes to the state, some of them only after a hold. */
@@ -30,10 +30,20 @@
   apply(changes: readonly StoredChange[]): void;
   /** Number of keys whose restored items are held back. */
   getHeldCount(): number;
+  /** Items, and deletions, that are in force instead of what the store holds; for instances that started after the restore. */
+  getSuperseding(): readonly GatewayTypes.StoreItem[];
+  /** Puts an item in force that a peer reports as superseding; `stored` is the store's change of its key. */
+  adopt(
+    superseding: GatewayTypes.StoreItem,
+    inForce: GatewayTypes.StateChange,
+    stored: StoredChange,
+  ): void;
 }
 
 interface HeldChange {
   readonly change: GatewayTypes.StateChange;
+  /** Item in force meanwhile. */
+  readonly superseding: GatewayTypes.StoreItem | undefined;
   /** Monotonic time at which the change takes effect, ms. */
   readonly untilMs: number;
 }
@@ -54,10 +64,12 @@
 
   function isOlderTarget(
     entry: GatewayTypes.TargetEntry,
-    wasDeleted: boolean,
+    previous: GatewayTypes.StoreItem | undefined,
   ): boolean {
     const known = state.tryGetTarget(entry.id)?.entry;
-    if (known === undefined) return wasDeleted;
+    if (known === undefined) {
+      return previous !== undefined && previous.value === undefined;
+    }
     if (entry.startedAtMs !== known.startedAtMs) {
       return entry.startedAtMs < known.startedAtMs;
     }
@@ -65,14 +77,14 @@
   }
 
   /** True if the change would replace newer state. */
-  function isStepBack({ change, wasDeleted }: StoredChange): boolean {
+  function isStepBack({ change, previous }: StoredChange): boolean {
     switch (change.kind) {
       case "config":
         return change.config.version < (state.getConfig()?.version ?? 0);
       case "evacuation":
         return !change.isActive && state.isEvacuated(change.domain);
       case "target":
-        return isOlderTarget(change.entry, wasDeleted);
+        return isOlderTarget(change.entry, previous);
       case "target-gone":
         return state.tryGetTarget(change.id) !== undefined;
       case "unreadable":
@@ -115,16 +127,29 @@
     void opts.sleep(delayMs + TIMER_MARGIN_MS).then(releaseDue);
   }
 
+  /** Holds the change back if it would take the state back; returns false if it takes effect at once. */
+  function tryHold(stored: StoredChange): boolean {
+    const { change, key, previous } = stored;
+    const superseding = heldChanges.get(key)?.superseding ?? previous;
+    heldChanges.delete(key);
+    const untilMs = tryGetHoldEnd(stored);
+    if (untilMs === undefined) return false;
+    hold(key, { change, superseding, untilMs });
+    return true;
+  }
+
   return {
     apply(changes) {
-      const immediate: GatewayTypes.StateChange[] = [];
-      for (const stored of changes) {
-        heldChanges.delete(stored.key);
-        const untilMs = tryGetHoldEnd(stored);
-        if (untilMs === undefined) immediate.push(stored.change);
-        else hold(stored.key, { change: stored.change, untilMs });
-      }
-      state.applyAll(immediate);
+      const immediate = changes.filter((stored) => !tryHold(stored));
+      state.applyAll(immediate.map(({ change }) => change));
+    },
+    getSuperseding: () =>
+      [...heldChanges.values()].map(({ superseding }) => superseding)
+        .filter((item) => item !== undefined),
+    adopt(superseding, inForce, stored) {
+      if (heldChanges.has(stored.key) || !stored.isRestored) return;
+      state.apply(inForce);
+      tryHold({ ...stored, previous: superseding });
     },
     getHeldCount: () => heldChanges.size,
   };
--- a/src/gateway/status_gossip.ts
+++ b/src/gateway/status_gossip.ts
@@ -19,6 +19,7 @@
 import type * as Quota from "./quota.ts";
 import type * as MemberList from "./member_list.ts";
 import * as ItemSync from "./item_sync.ts";
+import type * as RestoreGuard from "./restore_guard.ts";
 import * as TargetLimits from "./target_limits.ts";
 
 /** Bounds how far the shares of an account's limit lag behind its callers. */
@@ -56,6 +57,7 @@
   readonly feed: Feed.Feed;
   readonly items: ItemsModule.Items;
   readonly itemSync: ItemSync.ItemSync;
+  readonly restoreGuard: Pick<RestoreGuard.RestoreGuard, "getHeldCount">;
   readonly memberList: MemberList.MemberList;
   readonly domainView: DomainView.DomainView;
   /** Instances of the local domain, as this instance itself sees them. */
@@ -88,9 +90,10 @@
 
   function handleStatus(params: unknown, sender: Types.InstanceId): void {
     if (!Json.isObject(params)) return;
-    const { count, keeper, revisions, storeAgeMs } = params;
+    const { count, held, keeper, revisions, storeAgeMs } = params;
     if (typeof storeAgeMs === "number") feed.recordStoreAge(storeAgeMs);
     itemSync.recordPeerRevisions(sender, ItemSync.readRevisions(revisions));
+    if (typeof held === "number") itemSync.recordPeerHeldCount(sender, held);
     targetLimits.recordReports(TargetLimits.readReports(params["limits"]));
     const peerDomain = tryGetDomain(sender);
     if (peerDomain === undefined) return;
@@ -128,8 +131,10 @@
     remoteIds: readonly Types.InstanceId[],
   ): void {
     const limits = targetLimits.getReports();
+    const held = opts.restoreGuard.getHeldCount();
     const status = {
       ...(limits.length === 0 ? {} : { limits }),
+      ...(held === 0 ? {} : { held }),
       revisions: items.getRevisions(),
       storeAgeMs: Math.min(Math.round(feed.getStoreAgeMs()), MAX_AGE_MS),
       count: memberList.getDomainMembers().length,
--- a/tests/gateway/feed_test.ts
+++ b/tests/gateway/feed_test.ts
@@ -31,7 +31,12 @@
       decode: () => undefined,
       items: Items.createItems(clock, ["a/"]),
       state: State.createState({ clock, log, regionOfDomain: new Map() }),
-      restoreGuard: { apply: () => {}, getHeldCount: () => 0 },
+      restoreGuard: {
+        apply: () => {},
+        getHeldCount: () => 0,
+        getSuperseding: () => [],
+        adopt: () => {},
+      },
       isReader: () => isReader,
       onChanges: () => {},
       onRestore: () => {},
--- a/tests/gateway/item_sync_test.ts
+++ b/tests/gateway/item_sync_test.ts
@@ -22,7 +22,11 @@
         const itemSync = ItemSync.createItemSync({
           peers: net.createPeers(self),
           items,
-          feed: { handlePeerItems: (received) => items.apply(received) },
+          feed: {
+            handlePeerItems: (received) => items.apply(received),
+            handleSuperseding: () => {},
+          },
+          restoreGuard: { getHeldCount: () => 0, getSuperseding: () => [] },
           state: { getEntryGraceMs: () => 0 },
           prefixes: ["a/"],
           getDomainPeers: () => LOCALS.filter((id) => id !== self),
--- a/tests/gateway/items_test.ts
+++ b/tests/gateway/items_test.ts
@@ -8,6 +8,13 @@
     const clock = ManualTime.createTime();
     return { clock, items: Items.createItems(clock, ["a/", "b/"]) };
   }
+  /** Applies all items under a prefix, as a full read does. */
+  function replaceAll(
+    items: Items.Items,
+    ...[prefix, list, revision]: Parameters<Items.Items["findDeleted"]>
+  ) {
+    return items.apply([...list, ...items.findDeleted(prefix, list, revision)]);
+  }
   const put = (key: string, revision: number, value = `v${revision}`) => ({
     key,
     revision,
@@ -38,7 +45,7 @@
     items.apply([put("a/1", lost), put("a/2", lost)]);
     items.apply([deletion("a/2", lost + 1)]);
     const restored = [put("a/1", written), put("a/2", written)];
-    expect(items.replaceAll("a/", restored, written + 3)).toEqual(restored);
+    expect(replaceAll(items, "a/", restored, written + 3)).toEqual(restored);
     expect(items.apply([put("a/1", lost + 9)])).toEqual([]);
     expect(Revision.formatRevision(items.getRevisions()[0]!)).toBe("2:50");
   });
@@ -63,10 +70,15 @@
   it("date what a restored store lacks to the restore", () => {
     const { items } = create();
     items.apply([put("a/1", Revision.createRevision(1, 57))]);
-    const revision = Revision.createRevision(2, 56);
-    items.recordRestore({ revision, ageMs: 0 });
-    expect(items.replaceAll("a/", [], revision + 4))
-      .toEqual([deletion("a/1", revision)]);
+    const known = items.tryGet("a/1");
+    items.recordRestore({
+      revision: Revision.createRevision(2, 60),
+      ageMs: 0,
+    });
+    const listedAt = Revision.createRevision(2, 64);
+    const [missing] = replaceAll(items, "a/", [], listedAt);
+    expect(missing).toMatchObject({ key: "a/1", value: undefined });
+    expect(items.isRestored(missing!, known)).toBe(true);
   });
 
   // Guards against targets that stay in use although they were removed while the
@@ -74,7 +86,7 @@
   it("delete what a full read no longer contains", () => {
     const { items } = create();
     items.apply([put("a/1", 1), put("a/2", 2), put("b/1", 3)]);
-    const changes = items.replaceAll("a/", [put("a/2", 2)], 9);
+    const changes = replaceAll(items, "a/", [put("a/2", 2)], 9);
     expect(changes).toEqual([deletion("a/1", 9)]);
     expect(items.getAll().map((item) => item.key)).toEqual(["a/2", "b/1"]);
   });
@@ -83,7 +95,7 @@
   it("keep items that are newer than a full read", () => {
     const { items } = create();
     items.apply([put("a/1", 12)]);
-    expect(items.replaceAll("a/", [], 9)).toEqual([]);
+    expect(replaceAll(items, "a/", [], 9)).toEqual([]);
     expect(items.getAll()).toHaveLength(1);
   });
 
--- a/tests/gateway/restore_guard_test.ts
+++ b/tests/gateway/restore_guard_test.ts
@@ -32,16 +32,18 @@
     const apply = (
       change: GatewayTypes.StateChange,
       isRestored: boolean,
-      wasDeleted = false,
-    ) => guard.apply([{ key: getKey(change), change, isRestored, wasDeleted }]);
+      previous?: GatewayTypes.StoreItem,
+    ) => guard.apply([{ key: getKey(change), change, isRestored, previous }]);
     return {
       clock,
       state,
       guard,
       write: (change: GatewayTypes.StateChange) => apply(change, false),
       restore: () => void (restoredAtMs = clock.nowMs()),
-      readCopy: (change: GatewayTypes.StateChange, wasDeleted?: boolean) =>
-        apply(change, true, wasDeleted),
+      readCopy: (
+        change: GatewayTypes.StateChange,
+        previous?: GatewayTypes.StoreItem,
+      ) => apply(change, true, previous),
       getVersion: () => state.getConfig()?.version,
       getTargets: () =>
         state.getUsableTargets("orders").map(({ entry }) => entry.id),
@@ -128,7 +130,7 @@
     removed.write(target());
     removed.write(gone);
     removed.restore();
-    removed.readCopy(target(), true);
+    removed.readCopy(target(), { key: "i-1", value: undefined, revision: 1 });
     expect(removed.getTargets()).toEqual([]);
     await removed.clock.advance(TARGET_HOLD_MS + 100);
     expect(removed.getTargets()).toEqual(["i-1"]);
