--- a/testing/kv/kv_target.ts
+++ b/testing/kv/kv_target.ts
@@ -18,6 +18,7 @@
 /** A running target. */
 export interface KvTarget {
   readonly id: string;
+  readonly address: string;
   /** Ids of the requests that ran, in order. */
   readonly ran: readonly string[];
   /** Headers of the requests that arrived. */
@@ -98,6 +99,7 @@
   register();
   return {
     id,
+    address: entry.address,
     ran,
     seen,
     arrivedAtMs,
--- a/tests/support/gateway_rig.ts
+++ b/tests/support/gateway_rig.ts
@@ -9,7 +9,9 @@
 import * as Log from "../../src/log.ts";
 import * as Wait from "../../testing/harness/wait.ts";
 import * as KvStore from "../../testing/kv/kv_store.ts";
+import * as KvLink from "../../testing/kv/kv_link.ts";
 import * as KvTarget from "../../testing/kv/kv_target.ts";
+import type * as GatewayTypes from "../../src/gateway/types.ts";
 
 /** Ports of every instance; below those that the system gives to outgoing connections. */
 const PORTS = {
@@ -128,6 +130,8 @@
 export interface FleetOptions {
   readonly targets?: number;
   readonly instances?: number;
+  /** Gives each instance links of its own to the targets, which can be partitioned. */
+  readonly hasLinks?: boolean;
   /** Configuration record in the store; null for none. */
   readonly config?: string | null;
   /** Called for each request whose headers an instance reads. */
@@ -160,6 +164,8 @@
     readonly directory: string;
     readonly ready: string;
     readonly gateway: Gateway.Gateway;
+    /** Links to the targets; none without `hasLinks`. */
+    readonly links: readonly KvLink.KvLink[];
     readonly lines: readonly string[];
   }[] = [];
   /** Starts one more instance. */
@@ -205,13 +211,28 @@
         entryExpiryMs: 1_500,
       },
     };
+    const links = new Map<string, KvLink.KvLink>();
+    for (const { address: targetAddress, id } of targets) {
+      if (opts.hasLinks !== true) break;
+      const link = await KvLink.startKvLink(targetAddress);
+      addCleanup(link.close);
+      links.set(id, link);
+    }
+    /** Decodes an item; replaces a target's address by that of this instance's link to it. */
+    const decode = (item: GatewayTypes.StoreItem) => {
+      const change = Records.decodeItem(item);
+      if (change?.kind !== "target") return change;
+      const link = links.get(change.entry.id);
+      if (link === undefined) return change;
+      return { ...change, entry: { ...change.entry, address: link.address } };
+    };
     const lines: string[] = [];
     const writeText = (text: string) =>
       void lines.push(...text.split("\n").filter((line) => line !== ""));
     const gateway = await Gateway.startGateway({
       settings,
       store: Store.createStore(kv.address, "127.0.0.1"),
-      decode: Records.decodeItem,
+      decode,
       dialect: {
         ...Headers.headerDialect,
         readCaller(headers) {
@@ -225,7 +246,14 @@
       writeText,
     });
     addCleanup(gateway.close);
-    instances.push({ address, ready, directory, gateway, lines });
+    instances.push({
+      address,
+      ready,
+      directory,
+      gateway,
+      links: [...links.values()],
+      lines,
+    });
   }
   for (let i = 0; i < (opts.instances ?? 1); i++) await startInstance();
   if (opts.config !== null) {
