Serve callers of an instance that reaches no target through another one

Callers of instances that were partitioned from all targets got 503 or 504 for as long as the partition lasted, and came back to them. Cause: an instance noticed target by target that it reached none, rejected, and told nobody; the directory went by heartbeats, which say that the process lives. The class: a process that counts as usable because it responds, not because it can do its work. Looked for elsewhere: an instance that the store rejects is known by its peers (isStoreFailing); one without configuration isn't live. Ruled out: directory alone. Callers keep its response for up to three times its validity, 3 s here and 6 s in a large fleet, and a whole domain may be cut. Change: target_reach.ts decides from the silence of all targets and failed connections in several domains; heartbeats tell, the directory names others (all, if none reaches targets); relay.ts hands requests to an instance of the domain, the region or a home region, which admits them like its own and never passes them on; an order goes to one instance only. Repeatable requests that hang are relayed; pauses of targets end with the partition.

--- a/src/daemon/heartbeat.ts
+++ b/src/daemon/heartbeat.ts
@@ -70,6 +70,7 @@
       isTableSettled: sources?.budgets.isTableSettled(tableRevision) ?? false,
       keysRevision: sources?.config.getKeysRevision() ?? 0,
       storeSeenMsAgo: getAgeMs(sources?.platform.getLastResponseAtMs()),
+      isStranded: false,
       isStoreFailing: sources?.platform.isFailing() ?? true,
       relayedStoreSeenMsAgo: Math.round(Math.min(evidenceAgeMs, NEVER_MS)),
       load: sources === undefined ? 0 : getLoad(sources),
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,9 +1,10 @@
 /** Sends a request to one target once, and classifies the failure if there is one. */
 import type * as Clock from "../clock.ts";
-import type * as Cancellation from "./cancellation.ts";
+import * as Cancellation from "./cancellation.ts";
 import * as Connections from "./connections.ts";
 import * as Exchange from "./exchange.ts";
 import type * as ResponseBuffer from "./response_buffer.ts";
+import type * as TargetReach from "./target_reach.ts";
 import type * as Types from "../types.ts";
 import type * as GatewayTypes from "./types.ts";
 
@@ -18,8 +19,14 @@
 /** An attempt to connect times out after two round trips and this margin. */
 const CONNECT_MARGIN_MS = 250;
 
+/** Returns the time after which an attempt to connect fails, ms. */
+export function getConnectTimeoutMs(roundTripMs: number): number {
+  return 2 * roundTripMs + CONNECT_MARGIN_MS;
+}
+
 /** A request, its target and the limits of the send. */
 export interface AttemptArgs {
+  readonly targetId: Types.TargetId;
   readonly address: Types.Address;
   readonly region: Types.Region;
   readonly request: Exchange.TargetRequest;
@@ -65,10 +72,14 @@
   readonly connections: Connections.Connections;
   readonly dialect: GatewayTypes.HeaderDialect;
   readonly responseBuffer: ResponseBuffer.ResponseBuffer;
+  readonly reach: Pick<
+    TargetReach.TargetReach,
+    "getLoss" | "recordOpen" | "recordResponse" | "recordSend"
+  >;
   readonly clock: Clock.Clock;
   readonly onConnect: (region: Types.Region, ms: number) => void;
 }): Attempts {
-  const { clock, connections, dialect } = opts;
+  const { clock, connections, dialect, reach } = opts;
 
   async function connect(
     args: AttemptArgs,
@@ -79,18 +90,26 @@
     const idle = connections.tryAcquireIdle(args.address, maxIdleMs);
     if (idle !== undefined) return idle;
     const startedAtMs = clock.nowMs();
-    const timeoutMs = 2 * args.roundTripMs + CONNECT_MARGIN_MS;
+    const timeoutMs = getConnectTimeoutMs(args.roundTripMs);
     const conn = await connections.open(
       args.address,
       timeoutMs,
       args.cancellation,
     );
-    if (!Connections.isConnectFailure(conn)) {
-      opts.onConnect(args.region, clock.nowMs() - startedAtMs);
+    const isOpen = !Connections.isConnectFailure(conn);
+    if (isOpen) opts.onConnect(args.region, clock.nowMs() - startedAtMs);
+    if (isOpen || !args.cancellation.isCancelled()) {
+      reach.recordOpen(args.targetId, isOpen);
     }
     return conn;
   }
 
+  /** A request that may run again doesn't wait for a target that can't be reached. */
+  function getCancellation(args: AttemptArgs): Cancellation.Cancellation {
+    if (!args.isRepeatable) return args.cancellation;
+    return Cancellation.combine(args.cancellation, reach.getLoss());
+  }
+
   /** True if the response belongs to another request, or reports a run without a target's signature. */
   function isForeignResponse(
     fields: GatewayTypes.ResponseFields,
@@ -103,6 +122,7 @@
 
   return {
     async send(args) {
+      reach.recordSend();
       const conn = await connect(args);
       if (Connections.isConnectFailure(conn)) {
         if (args.cancellation.isCancelled()) {
@@ -113,17 +133,23 @@
       const result = await Exchange.exchange(
         conn,
         args.request,
-        args.cancellation,
+        getCancellation(args),
         opts.responseBuffer,
       );
       switch (result.kind) {
-        case "aborted":
+        case "aborted": {
           connections.destroy(conn);
-          return { kind: "aborted", isSent: true };
+          if (args.cancellation.isCancelled()) {
+            return { kind: "aborted", isSent: true };
+          }
+          const reason = "all targets are lost";
+          return { kind: "broke", reason, isConnectionLost: false };
+        }
         case "broke":
           connections.destroy(conn);
           return result;
         case "response": {
+          reach.recordResponse();
           const { response } = result;
           const fields = dialect.readResponse(
             response.status,
--- a/src/gateway/cancellation.ts
+++ b/src/gateway/cancellation.ts
@@ -5,7 +5,7 @@
  */
 
 /** Why the work was cancelled. */
-export type Reason = "caller-left" | "deadline";
+export type Reason = "caller-left" | "deadline" | "targets-lost";
 
 /** The receiving side of a cancellation. */
 export interface Cancellation {
@@ -45,3 +45,22 @@
     },
   };
 }
+
+/** Combines two cancellations: either of them cancels the work. A listener may be called by both. */
+export function combine(
+  first: Cancellation,
+  second: Cancellation,
+): Cancellation {
+  return {
+    isCancelled: () => first.isCancelled() || second.isCancelled(),
+    getReason: () => first.getReason() ?? second.getReason(),
+    addListener(fn) {
+      first.addListener(fn);
+      second.addListener(fn);
+    },
+    removeListener(fn) {
+      first.removeListener(fn);
+      second.removeListener(fn);
+    },
+  };
+}
--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -50,6 +50,8 @@
   /** Store prefixes of the configuration, evacuations and targets. */
   readonly watchedPrefixes: readonly string[];
   readonly getMemberState: () => Types.MemberState;
+  /** True while this instance reaches no target. */
+  readonly isStranded: () => boolean;
   readonly supervisor: Supervisor.Supervisor;
   readonly clock: Clock.Clock;
   readonly log: Log.Logger;
@@ -126,6 +128,7 @@
     instance,
     callerAddress: settings.listen.caller,
     getMemberState: opts.getMemberState,
+    isStranded: opts.isStranded,
     getNet: () => deferred.net,
     domainView,
     clock,
@@ -220,6 +223,7 @@
       shards: [],
       callerAddress: settings.listen.caller,
       peerAddress: settings.listen.peer,
+      isStranded: opts.isStranded(),
     };
   }
 
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -1,4 +1,8 @@
-/** Chooses the instances to which callers connect: reachable ones of the caller's region, or of all regions if it has none. */
+/**
+ * Chooses the instances to which callers connect: those of the caller's region that
+ * reach targets, else those of all regions. If no instance reaches a target, all stay
+ * in the directory, as the partition may end before callers ask again.
+ */
 import type * as Types from "../types.ts";
 
 /** A live instance that callers may connect to. */
@@ -7,6 +11,8 @@
   readonly callerAddress: Types.Address;
   readonly domain: Types.Domain;
   readonly region: Types.Region;
+  /** True while it reaches no target. */
+  readonly isStranded: boolean;
 }
 
 /** Callers accept at most this many addresses. */
@@ -18,8 +24,10 @@
   region: Types.Region,
   domain: Types.Domain,
 ): readonly Types.Address[] {
-  const inRegion = instances.filter((instance) => instance.region === region);
-  const chosen = inRegion.length > 0 ? inRegion : instances;
+  const connected = instances.filter(({ isStranded }) => !isStranded);
+  const usable = connected.length > 0 ? connected : instances;
+  const inRegion = usable.filter((instance) => instance.region === region);
+  const chosen = inRegion.length > 0 ? inRegion : usable;
   const ordered = chosen.toSorted((a, b) =>
     Number(b.domain === domain) - Number(a.domain === domain) ||
     (a.id < b.id ? -1 : 1)
--- a/src/gateway/domain_view.ts
+++ b/src/gateway/domain_view.ts
@@ -17,6 +17,8 @@
 export interface DomainReport {
   /** Addresses for callers of the live instances, by id. */
   readonly live: Readonly<Record<Types.InstanceId, Types.Address>>;
+  /** Those of the live instances that reach no target. */
+  readonly stranded: readonly Types.InstanceId[];
   /** Instances that are unresponsive, but may still spend their share of a limit. */
   readonly unresponsive: readonly Types.InstanceId[];
 }
@@ -25,6 +27,8 @@
 export interface ReportedInstance {
   readonly id: Types.InstanceId;
   readonly callerAddress: Types.Address;
+  /** True while it reaches no target. */
+  readonly isStranded: boolean;
 }
 
 /** The latest reports of connected peers. */
@@ -65,14 +69,18 @@
     },
     getLive() {
       const addresses = new Map<Types.InstanceId, Types.Address>();
-      for (const { live } of getReports(PeerMembers.UNREACHABLE_AFTER_MS)) {
+      const strandedIds = new Set<Types.InstanceId>();
+      const reports = getReports(PeerMembers.UNREACHABLE_AFTER_MS);
+      for (const { live, stranded } of reports) {
         for (const [id, address] of Object.entries(live)) {
           if (id !== self) addresses.set(id, address);
         }
+        for (const id of stranded) strandedIds.add(id);
       }
       return [...addresses].map(([id, callerAddress]) => ({
         id,
         callerAddress,
+        isStranded: strandedIds.has(id),
       }));
     },
     getMembers() {
@@ -95,10 +103,13 @@
 /** Reads a report from a peer's message; undefined if it is malformed. */
 export function tryReadReport(raw: unknown): DomainReport | undefined {
   if (!Json.isObject(raw)) return undefined;
-  const { live, unresponsive } = raw;
-  if (!Json.isObject(live) || !Array.isArray(unresponsive)) return undefined;
-  const isValid = [...Object.values(live), ...unresponsive].every((value) =>
-    typeof value === "string"
-  );
-  return isValid ? { live, unresponsive } as DomainReport : undefined;
+  // An instance of an earlier version doesn't report `stranded`.
+  const { live, stranded = [], unresponsive } = raw;
+  if (!Json.isObject(live)) return undefined;
+  if (!Array.isArray(unresponsive) || !Array.isArray(stranded)) {
+    return undefined;
+  }
+  const isValid = [...Object.values(live), ...stranded, ...unresponsive]
+    .every((value) => typeof value === "string");
+  return isValid ? { live, stranded, unresponsive } as DomainReport : undefined;
 }
--- a/src/gateway/eligible_targets.ts
+++ b/src/gateway/eligible_targets.ts
@@ -14,8 +14,8 @@
   readonly targets: readonly StateModule.KnownTarget[];
 }
 
-/** Regions that both the route and the account allow; undefined when every region is allowed. */
-function getHomeRegions(
+/** Returns the regions that both the route and the account allow; undefined when every region is allowed. */
+export function getHomeRegions(
   route: GatewayTypes.Route,
   account: GatewayTypes.AccountSpec | undefined,
 ): readonly Types.Region[] | undefined {
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -50,6 +50,8 @@
   /** Address for callers of this instance. */
   readonly callerAddress: Types.Address;
   readonly getMemberState: () => Types.MemberState;
+  /** True while this instance reaches no target. */
+  readonly isStranded: () => boolean;
   readonly getNet: () => PeerNet.Net | undefined;
   readonly domainView: DomainView.DomainView;
   readonly clock: Clock.Clock;
@@ -145,6 +147,9 @@
 
   const getDomainReport = createCached((): DomainView.DomainReport => {
     const live = getLocalPeers().filter(({ state }) => state === "live");
+    const stranded = live.filter(({ isStranded }) => isStranded)
+      .map(({ id }) => id);
+    if (opts.isStranded()) stranded.push(self);
     const unresponsive = getMembers().filter(({ ageMs, heartbeat }) =>
       heartbeat.domain === domain && ageMs < MemberList.MEMBER_EXPIRY_MS &&
       getNet()?.getReachability(heartbeat.id) === "unresponsive"
@@ -155,6 +160,7 @@
     }
     return {
       live: Object.fromEntries(addresses),
+      stranded,
       unresponsive: unresponsive.map(({ heartbeat }) => heartbeat.id),
     };
   });
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -13,6 +13,8 @@
 import * as Body from "./body.ts";
 import * as Cancellation from "./cancellation.ts";
 import * as Choice from "./choice.ts";
+import * as EligibleTargets from "./eligible_targets.ts";
+import type * as Exchange from "./exchange.ts";
 import * as PendingRequest from "./pending_request.ts";
 import * as Placement from "./placement.ts";
 import * as Rejection from "./rejection.ts";
@@ -38,6 +40,9 @@
  */
 const CONFIG_RETRY_MS = 300;
 
+/** Retry advice while no instance that can be reached reaches targets; a partition lasts for seconds. */
+const NO_INSTANCE_RETRY_MS = 300;
+
 /** Handles one caller request and completes or destroys its response. */
 export type Handler = (
   req: Http.IncomingMessage,
@@ -74,6 +79,17 @@
     deps.metrics.count(`refused.${rejection.code}`);
   }
 
+  function writeResponse(
+    res: Http.ServerResponse,
+    response: Exchange.TargetResponse,
+  ): void {
+    if (res.headersSent || res.destroyed) return;
+    const headers = deps.dialect.formatForCaller(response.headers);
+    headers.push("content-length", String(response.body.length));
+    res.writeHead(response.status, headers);
+    res.end(response.body);
+  }
+
   function sendResponse(
     pending: PendingRequest.PendingRequest,
     candidate: Choice.Candidate,
@@ -82,12 +98,7 @@
     const { response } = result;
     const { res } = pending;
     const latencyMs = clock.nowMs() - pending.startedAtMs;
-    if (!res.headersSent && !res.destroyed) {
-      const headers = deps.dialect.formatForCaller(response.headers);
-      headers.push("content-length", String(response.body.length));
-      res.writeHead(response.status, headers);
-      res.end(response.body);
-    }
+    writeResponse(res, response);
     deps.log.write("answered", {
       id: pending.callerFields.requestId,
       route: pending.route.name,
@@ -135,8 +146,15 @@
     return deps.retryBudget.tryAcquireRetry(pending.service, share);
   }
 
-  /** Rejects a request after its admission and refunds its account if the request did not run. */
-  function rejectAdmitted(
+  /** Returns the token of a request that did not run to its account. */
+  function refund(pending: PendingRequest.PendingRequest): void {
+    if (!pending.isAdmitted || pending.mayHaveRun) return;
+    pending.isAdmitted = false;
+    if (pending.account !== undefined) deps.accounts.refund(pending.account);
+  }
+
+  /** Rejects a request and refunds its account if the request did not run. */
+  function rejectPending(
     pending: PendingRequest.PendingRequest,
     rejection: Rejection.Rejection,
     reason: string,
@@ -147,9 +165,7 @@
     const accurateRejection = claimsNotRun && pending.mayHaveRun
       ? Rejection.createRejection("targetBroke", "unknown")
       : rejection;
-    if (pending.account !== undefined && !pending.mayHaveRun) {
-      deps.accounts.refund(pending.account);
-    }
+    refund(pending);
     reject(pending, accurateRejection, {
       route: pending.route.name,
       account: pending.account?.name,
@@ -182,6 +198,67 @@
     }
   }
 
+  /** True if another instance may serve the request, as this one reaches no target, or can't open the connection that it needs. */
+  function isRelayUseful({ callerFields }: PendingRequest.PendingRequest) {
+    if (callerFields.isRelayed) return false;
+    return deps.reach.isStranded() || !deps.reach.canOpen();
+  }
+
+  /** Passes the request on to another instance, which counts it for its account. */
+  async function relay(pending: PendingRequest.PendingRequest): Promise<void> {
+    const { account, body, callerFields, req, res, route } = pending;
+    const result = await deps.relay.send({
+      method: req.method ?? "GET",
+      path: req.url ?? "/",
+      rawHeaders: req.rawHeaders,
+      body,
+      isRepeatable: route.isRepeatable,
+      homeRegions: EligibleTargets.getHomeRegions(route, account),
+      affinityKey: pending.affinityKey,
+      deadlineAtMs: pending.deadlineAtMs,
+      cancellation: pending.cancellation,
+    });
+    switch (result.kind) {
+      case "unavailable": {
+        const rejection = Rejection.createRejection(
+          "noTarget",
+          "not-run",
+          NO_INSTANCE_RETRY_MS,
+        );
+        return rejectPending(pending, rejection, "no instance reaches targets");
+      }
+      case "broke": {
+        pending.mayHaveRun = true;
+        const rejection = Rejection.createRejection("targetBroke", "unknown");
+        return rejectPending(pending, rejection, result.reason);
+      }
+      case "aborted":
+        if (result.isSent) pending.mayHaveRun = true;
+        return endCancelled(pending, undefined);
+      case "response": {
+        const { instance, response } = result;
+        writeResponse(res, response);
+        deps.log.write("relayed", {
+          id: callerFields.requestId,
+          route: route.name,
+          instance,
+          status: response.status,
+          ms: Math.round(clock.nowMs() - pending.startedAtMs),
+        });
+        deps.metrics.count("relayed");
+        return;
+      }
+      default:
+        Debug.assertNever(result);
+    }
+  }
+
+  /** Returns the request's token to its account, unless it may have run, and passes it on. */
+  function relayAdmitted(pending: PendingRequest.PendingRequest) {
+    refund(pending);
+    return relay(pending);
+  }
+
   /** Sends the request to targets until a response or a rejection goes to the caller. */
   async function forward(
     pending: PendingRequest.PendingRequest,
@@ -190,18 +267,23 @@
       if (pending.cancellation.isCancelled()) {
         return endCancelled(pending, undefined);
       }
+      const canRelay = isRelayUseful(pending);
+      if (canRelay && deps.reach.isStranded()) return relayAdmitted(pending);
       const profile = sender.getProfile(pending);
       const candidates = sender.getCandidates(pending);
       const choice = Choice.chooseCandidate(candidates, profile);
       if (pending.sendCount === 0) recordAdmission(candidates[0], choice);
       if (choice.kind === "reject") {
+        if (canRelay && choice.reason === "no-target") {
+          return relayAdmitted(pending);
+        }
         const code = choice.reason === "full" ? "queueFull" : "noTarget";
         const rejection = Rejection.createRejection(
           code,
           "not-run",
           choice.retryAfterMs,
         );
-        return rejectAdmitted(pending, rejection, choice.reason);
+        return rejectPending(pending, rejection, choice.reason);
       }
       const { candidate } = choice;
       const { id } = candidate.target.entry;
@@ -223,9 +305,12 @@
         continue;
       }
       if (tryApproveResend(pending, result)) continue;
+      if (result.kind === "unreachable" && isRelayUseful(pending)) {
+        return relayAdmitted(pending);
+      }
       if (result.kind === "broke") {
         const rejection = Rejection.createRejection("targetBroke", "unknown");
-        return rejectAdmitted(pending, rejection, result.reason, id);
+        return rejectPending(pending, rejection, result.reason, id);
       }
       const waitMs = Choice.getQueueWaitMs(candidate, profile);
       const rejection = Rejection.createRejection(
@@ -233,7 +318,7 @@
         "not-run",
         Math.min(Math.max(waitMs, MIN_SHED_RETRY_MS), MAX_SHED_RETRY_MS),
       );
-      return rejectAdmitted(pending, rejection, result.kind, id);
+      return rejectPending(pending, rejection, result.kind, id);
     }
   }
 
@@ -260,14 +345,13 @@
     targetId: Types.TargetId | undefined,
   ): void {
     if (pending.cancellation.getReason() === "caller-left") {
-      const { account, mayHaveRun, sendCount } = pending;
-      if (account !== undefined && !mayHaveRun) deps.accounts.refund(account);
-      return logDisconnect(pending, sendCount, targetId);
+      refund(pending);
+      return logDisconnect(pending, pending.sendCount, targetId);
     }
     const rejection = pending.mayHaveRun
       ? Rejection.createRejection("deadlinePassed", "unknown")
       : Rejection.createRejection("queueFull", "not-run");
-    rejectAdmitted(pending, rejection, "time is over", targetId);
+    rejectPending(pending, rejection, "time is over", targetId);
   }
 
   /** Identifies equal requests of an account, for the detection of poison requests. */
@@ -284,6 +368,25 @@
     return `${identity} ${digest}`;
   }
 
+  /** Acquires a token of the account's limit; rejects the request and returns false if there is none. */
+  async function tryAdmit(
+    request: Parameters<typeof reject>[0],
+    account: GatewayTypes.AccountSpec | undefined,
+    configVersion: number,
+  ): Promise<boolean> {
+    if (account === undefined) return true;
+    const acquired = await deps.accounts.acquire(account);
+    if (acquired === "acquired") return true;
+    const rejection = Rejection.createRejection(
+      "accountLimit",
+      "not-run",
+      acquired.retryAfterMs,
+    );
+    const details = { config: configVersion, account: account.name };
+    reject(request, rejection, details);
+    return false;
+  }
+
   return async (req, res) => {
     const startedAtMs = clock.nowMs();
     const callerFields = deps.dialect.readCaller(req.headers);
@@ -334,20 +437,6 @@
       };
       return reject(request, rejection, { ...details, route: route.name });
     }
-    if (account !== undefined) {
-      const acquired = await deps.accounts.acquire(account);
-      if (acquired !== "acquired") {
-        const rejection = Rejection.createRejection(
-          "accountLimit",
-          "not-run",
-          acquired.retryAfterMs,
-        );
-        const name = account.name;
-        return reject(request, rejection, { ...details, account: name });
-      }
-    }
-    const service = deps.splits.chooseService(route);
-    deps.retryBudget.recordRequest(service);
     const timeoutMs = Math.min(
       route.timeoutMs,
       (callerFields.deadlineMs ?? Infinity) - RESPONSE_LATENCY_MS,
@@ -356,7 +445,11 @@
       () => cancellation.cancel("deadline"),
       startedAtMs + timeoutMs - clock.nowMs(),
     );
-    await forward({
+    const isStranded = deps.reach.isStranded() && !callerFields.isRelayed;
+    if (!isStranded && !await tryAdmit(request, account, config.version)) {
+      return clearTimeout(timer);
+    }
+    const pending: PendingRequest.PendingRequest = {
       req,
       res,
       callerFields,
@@ -366,15 +459,22 @@
       startedAtMs,
       deadlineAtMs: startedAtMs + timeoutMs,
       body: bodyResult.data,
-      service,
+      service: deps.splits.chooseService(route),
       affinityKey: callerFields.affinityKey ??
         Placement.createSpreadKey(callerFields.requestId ?? ""),
       fingerprint,
       cancellation,
       triedTargets: new Set(),
+      isAdmitted: !isStranded,
       mayHaveRun: false,
       sendCount: 0,
-    });
+    };
+    if (isStranded) {
+      await relay(pending);
+    } else {
+      deps.retryBudget.recordRequest(pending.service);
+      await forward(pending);
+    }
     clearTimeout(timer);
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import * as Supervisor from "../supervisor.ts";
 import type * as Types from "../types.ts";
 import * as Attempt from "./attempt.ts";
+import * as Cancellation from "./cancellation.ts";
 import * as Connections from "./connections.ts";
 import type * as Contracts from "./contracts.ts";
 import * as Control from "./control.ts";
@@ -16,11 +17,14 @@
 import * as ReadBarrier from "./read_barrier.ts";
 import * as ReadDelay from "./read_delay.ts";
 import * as Placement from "./placement.ts";
+import * as Relay from "./relay.ts";
 import * as RequestLog from "./request_log.ts";
 import * as ResponseBuffer from "./response_buffer.ts";
 import * as Servers from "./servers.ts";
 import type * as Settings from "./settings.ts";
 import * as Split from "./split.ts";
+import type * as StateModule from "./state.ts";
+import * as TargetReach from "./target_reach.ts";
 import * as TargetLoad from "./target_load.ts";
 import * as Timings from "./timings.ts";
 import type * as GatewayTypes from "./types.ts";
@@ -96,6 +100,9 @@
   const clock = Clock.systemClock;
   const supervisor = Supervisor.createSupervisor("gateway", log);
   let memberState: Types.MemberState = "starting";
+  /** Exists once the state is known. */
+  const deferred: { reach?: TargetReach.TargetReach } = {};
+  const isStranded = () => deferred.reach?.isStranded() ?? false;
 
   const control = await Control.startControl({
     settings,
@@ -103,6 +110,7 @@
     decode: deps.decode,
     watchedPrefixes: deps.watchedPrefixes,
     getMemberState: () => memberState,
+    isStranded,
     supervisor,
     clock,
     log,
@@ -116,11 +124,13 @@
     return Math.min(perS * COLD_RATE_FACTOR, maxPerS);
   }
 
+  const self = { ...instance, callerAddress: settings.listen.caller };
+
   /** Live instances, this one included. */
   function getDirectoryInstances(): readonly Directory.DirectoryInstance[] {
     const instances: Directory.DirectoryInstance[] = [];
     if (memberState === "live") {
-      instances.push({ ...instance, callerAddress: settings.listen.caller });
+      instances.push({ ...self, isStranded: isStranded() });
     }
     instances.push(...control.getLiveInstances());
     return instances;
@@ -142,6 +152,39 @@
   const loads = TargetLoad.createTargetLoads(clock);
   const timings = Timings.createTimings();
   const splits = Split.createSplits(instance.id);
+  const responseBuffer = ResponseBuffer.createResponseBuffer(
+    instance.memoryBytes * RESPONSE_MEMORY_SHARE,
+  );
+
+  /** Opens a connection to the target and keeps it for later requests. */
+  async function probe(
+    { entry, region }: StateModule.KnownTarget,
+  ): Promise<boolean> {
+    const conn = await connections.open(
+      entry.address,
+      Attempt.getConnectTimeoutMs(timings.getRoundTripMs(region)),
+      Cancellation.createCancellation(),
+    );
+    if (Connections.isConnectFailure(conn)) return false;
+    connections.release(conn);
+    return true;
+  }
+
+  const reach = TargetReach.createTargetReach({
+    getTargets: () =>
+      [...state.getConfig()?.services.keys() ?? []].flatMap(
+        state.getUsableTargets,
+      ),
+    probe,
+    onChange(stranded) {
+      if (!stranded) loads.resumeAll();
+      peers.sendHeartbeatNow();
+    },
+    clock,
+    sleep: Clock.sleep,
+    log,
+  });
+  deferred.reach = reach;
   const readDelay = ReadDelay.createReadDelay(
     clock,
     ({ acceptMs, readMs }) =>
@@ -156,12 +199,21 @@
     attempts: Attempt.createAttempts({
       connections,
       dialect: deps.dialect,
-      responseBuffer: ResponseBuffer.createResponseBuffer(
-        instance.memoryBytes * RESPONSE_MEMORY_SHARE,
-      ),
+      responseBuffer,
+      reach,
       clock,
       onConnect: timings.recordConnect,
     }),
+    reach,
+    relay: Relay.createRelay({
+      self,
+      getInstances: control.getLiveInstances,
+      connections,
+      responseBuffer,
+      dialect: deps.dialect,
+      getRoundTripMs: timings.getRoundTripMs,
+      clock,
+    }),
     placement: Placement.createPlacement({
       origin: instance.region,
       demand: countDomains(regionOfDomain),
@@ -312,6 +364,7 @@
     const closing = [callerListener, ...otherListeners].map((listener) =>
       listener.close()
     );
+    reach.close();
     connections.close();
     await Promise.all([...closing, supervisor.stop()]);
     await store.close();
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -9,11 +9,13 @@
 import type * as ColdStart from "./cold_start.ts";
 import type * as ReadBarrier from "./read_barrier.ts";
 import type * as Placement from "./placement.ts";
+import type * as Relay from "./relay.ts";
 import type * as RequestLog from "./request_log.ts";
 import type * as Split from "./split.ts";
 import type * as StateModule from "./state.ts";
 import type * as TargetLimits from "./target_limits.ts";
 import type * as TargetLoad from "./target_load.ts";
+import type * as TargetReach from "./target_reach.ts";
 import type * as Timings from "./timings.ts";
 import type * as GatewayTypes from "./types.ts";
 import type * as Warmup from "./warmup.ts";
@@ -25,6 +27,8 @@
   readonly state: StateModule.State;
   readonly dialect: GatewayTypes.HeaderDialect;
   readonly attempts: Attempt.Attempts;
+  readonly reach: Pick<TargetReach.TargetReach, "canOpen" | "isStranded">;
+  readonly relay: Relay.Relay;
   readonly placement: Placement.Placement;
   readonly loads: TargetLoad.TargetLoads;
   readonly targetLimits: TargetLimits.TargetLimits;
@@ -45,7 +49,7 @@
   readonly getColdRatePerS: (service: Types.Service) => number;
 }
 
-/** A request that was admitted and has no response yet. */
+/** A request that has no response yet. */
 export interface PendingRequest {
   readonly req: Http.IncomingMessage;
   readonly res: Http.ServerResponse;
@@ -67,6 +71,8 @@
   readonly cancellation: Cancellation.Cancellation;
   /** Targets to which the request was sent, or to which a connection failed. */
   readonly triedTargets: Set<Types.TargetId>;
+  /** True while the request holds a token of its account's limit. */
+  isAdmitted: boolean;
   /** True if a target may have run the request. */
   mayHaveRun: boolean;
   /** Sends so far, without failed connection attempts. */
--- a/src/gateway/rejection.ts
+++ b/src/gateway/rejection.ts
@@ -2,6 +2,10 @@
 import type * as Http from "node:http";
 import * as ResultCodes from "../result_codes.ts";
 import type * as Types from "../types.ts";
+import type * as GatewayTypes from "./types.ts";
+
+const CODE_HEADER = "anvilroute-code";
+const OUTCOME_HEADER = "anvilroute-outcome";
 
 /** A rejection of a request: its result code, HTTP status and outcome. */
 export interface Rejection {
@@ -38,8 +42,8 @@
   const headers: Record<string, string | number> = {
     "content-type": "application/json",
     "content-length": Buffer.byteLength(body),
-    "anvilroute-code": number,
-    "anvilroute-outcome": rejection.outcome,
+    [CODE_HEADER]: number,
+    [OUTCOME_HEADER]: rejection.outcome,
   };
   if (rejection.retryAfterMs !== undefined) {
     headers["retry-after"] = (rejection.retryAfterMs / 1_000).toFixed(3);
@@ -47,3 +51,17 @@
   res.writeHead(rejection.status, headers);
   res.end(body);
 }
+
+/** True if the response of another instance says that it reaches no target, and did not run the request. */
+export function isNoTarget(
+  status: number,
+  headers: GatewayTypes.HeaderPairs,
+): boolean {
+  if (status !== ResultCodes.codes.noTarget.status) return false;
+  const values = new Map(
+    headers.map(([name, value]) => [name.toLowerCase(), value]),
+  );
+  return values.get(CODE_HEADER) ===
+      String(ResultCodes.codes.noTarget.number) &&
+    values.get(OUTCOME_HEADER) === "not-run";
+}
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -116,6 +116,7 @@
     deps.targetLimits.recordSend(id);
     if (target.coldUntilMs > sentAtMs) deps.coldStarts.recordSend(id);
     const result = await deps.attempts.send({
+      targetId: id,
       address: target.entry.address,
       region: target.region,
       request: {
--- a/src/gateway/target_load.ts
+++ b/src/gateway/target_load.ts
@@ -45,6 +45,8 @@
   getShedShare(target: Types.TargetId): number;
   /** Returns true while the target gets no requests because of failures. */
   isPaused(target: Types.TargetId): boolean;
+  /** Ends all pauses, as failures were this instance's own. */
+  resumeAll(): void;
   removeTarget(target: Types.TargetId): void;
 }
 
@@ -158,6 +160,7 @@
       const load = loads.get(target);
       return load !== undefined && load.pausedUntilMs > clock.nowMs();
     },
+    resumeAll: () => loads.forEach(recordHealthy),
     removeTarget: (target) => void loads.delete(target),
   };
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -151,6 +151,15 @@
   readonly key: string | undefined;
   /** Key by which requests prefer the same target. */
   readonly affinityKey: string | undefined;
+  /** True if another instance passed the request on. */
+  readonly isRelayed: boolean;
+}
+
+/** Fields that the gateway adds to a request that it passes on to another instance. */
+export interface RelayFields {
+  readonly relayedBy: Types.InstanceId;
+  /** Remaining time before the deadline, whole ms. */
+  readonly deadlineMs: number;
 }
 
 /** Fields that the gateway adds to a request to a target. */
@@ -197,6 +206,11 @@
     rawHeaders: readonly string[],
     fields: TargetFields,
   ): string[];
+  /** Formats the headers for another instance: the caller's, its key included, without connection headers, plus the gateway's fields. */
+  formatForInstance(
+    rawHeaders: readonly string[],
+    fields: RelayFields,
+  ): string[];
   readResponse(status: number, headers: HeaderPairs): ResponseFields;
   /** Formats the response headers for the caller. */
   formatForCaller(headers: HeaderPairs): string[];
--- a/src/peer/heartbeat.ts
+++ b/src/peer/heartbeat.ts
@@ -67,7 +67,7 @@
   if (!Json.isObject(value)) return undefined;
   const { isStoreFailing = false, isTableSettled = false, shards, state } =
     value;
-  const { capacity = 0 } = value;
+  const { capacity = 0, isStranded = false } = value;
   const strings = [value.id, value.incarnation, value.domain, value.region];
   const addresses = [value.callerAddress, value.peerAddress];
   const numbers = [
@@ -80,7 +80,7 @@
   ];
   const isValid = [...strings, ...addresses].every(isShortString) &&
     numbers.every(isNonNegative) && STATES.includes(state) &&
-    [isStoreFailing, isTableSettled].every(isBoolean) &&
+    [isStoreFailing, isStranded, isTableSettled].every(isBoolean) &&
     Array.isArray(shards) && shards.every(isNonNegative);
   if (!isValid) return undefined;
   // The cast is safe, as every field was checked above.
@@ -88,6 +88,7 @@
     ...value,
     capacity,
     isStoreFailing,
+    isStranded,
     isTableSettled,
   } as unknown as Types.Heartbeat;
 }
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -55,6 +55,8 @@
   isUsable(id: Types.InstanceId): boolean;
   /** Number of peers with an open connection. */
   getConnectedCount(): number;
+  /** Sends a heartbeat at once, as one of its fields has changed. */
+  sendHeartbeatNow(): void;
   /** Accepts peers that know this secret, too. */
   addSecret(secret: string): void;
   /** Bytes of all peer connections since the process started. */
@@ -292,9 +294,13 @@
       (id) => meshIds.has(id) || calls.hasRecentCall(id),
       clock,
     );
+    sendHeartbeatNow();
+    args.onHeartbeatsSent?.();
+  }
+
+  function sendHeartbeatNow(): void {
     const heartbeat = args.getHeartbeat();
     for (const conn of registry.getAll()) sendHeartbeat(conn, heartbeat);
-    args.onHeartbeatsSent?.();
   }
 
   function closeStaleConnections(): void {
@@ -348,6 +354,7 @@
     isUsable,
     getConnectedCount: () => registry.getPreferred().length,
     getBytes: registry.getBytes,
+    sendHeartbeatNow,
     addSecret: (secret) => void secrets.push(secret),
     async listen() {
       const address = await listener.listen();
--- a/src/types.ts
+++ b/src/types.ts
@@ -132,6 +132,8 @@
   readonly shards: readonly number[];
   readonly callerAddress: Address;
   readonly peerAddress: Address;
+  /** True while the sender reaches no target. */
+  readonly isStranded: boolean;
 }
 
 /** A peer, as described by its last heartbeat that this instance received. */
--- a/testing/bench/heartbeats.ts
+++ b/testing/bench/heartbeats.ts
@@ -61,6 +61,7 @@
       shards: [index % 8],
       callerAddress: "10.0.0.1:8080",
       peerAddress,
+      isStranded: false,
     }),
     supervisor,
     log,
--- a/testing/bench/lookup_answers.ts
+++ b/testing/bench/lookup_answers.ts
@@ -40,6 +40,7 @@
     shards: getShards(i),
     callerAddress: `10.0.${i >> 8}.${i & 255}:8080`,
     peerAddress: `10.0.${i >> 8}.${i & 255}:9090`,
+    isStranded: false,
   };
 }
 
--- a/testing/fakes/budget_fleet.ts
+++ b/testing/fakes/budget_fleet.ts
@@ -134,6 +134,7 @@
       shards: budgets.getShards(),
       callerAddress: "",
       peerAddress: "",
+      isStranded: false,
     };
     for (const peer of instances.values()) {
       if (peer === instance) continue;
--- a/testing/fakes/peer_net.ts
+++ b/testing/fakes/peer_net.ts
@@ -45,6 +45,7 @@
     shards: [],
     callerAddress: "127.0.0.1:1",
     peerAddress: "127.0.0.1:0",
+    isStranded: false,
   };
 }
 
--- a/testing/fakes/tool_fleet.ts
+++ b/testing/fakes/tool_fleet.ts
@@ -113,6 +113,7 @@
           region: listed.id === "c1" ? "pirkanmaa" : "uusimaa",
           state: "live",
           peerAddress: listed.address,
+          isStranded: false,
         },
         ageMs: 10,
         isReachable: !listed.isDown,
--- a/tests/gateway/topology_test.ts
+++ b/tests/gateway/topology_test.ts
@@ -103,11 +103,19 @@
   // Guards against a directory that names instances that were killed.
   it("forgets an instance with the first report that does not list it", async () => {
     const { clock, view } = create();
-    const report = { live: { a0: ":1", a1: ":1", a2: ":2" }, unresponsive: [] };
+    const report = {
+      live: { a0: ":1", a1: ":1", a2: ":2" },
+      stranded: [],
+      unresponsive: [],
+    };
     view.recordReport("hub", report);
     expect(getIds(view.getLive())).toEqual(["a1", "a2"]);
     await clock.advance(1_000);
-    view.recordReport("hub", { live: { a1: ":1" }, unresponsive: [] });
+    view.recordReport("hub", {
+      live: { a1: ":1" },
+      stranded: [],
+      unresponsive: [],
+    });
     expect(getIds(view.getLive())).toEqual(["a1"]);
     expect(getIds(view.getMembers())).toEqual(["a1"]);
   });
@@ -116,7 +124,11 @@
   // or while a hub is silent.
   it("counts unresponsive instances, and those of a silent hub for 15 s, but lists them no longer", async () => {
     const { clock, view } = create();
-    view.recordReport("hub", { live: { a1: ":1" }, unresponsive: ["a2"] });
+    view.recordReport("hub", {
+      live: { a1: ":1" },
+      stranded: [],
+      unresponsive: ["a2"],
+    });
     expect(getIds(view.getLive())).toEqual(["a1"]);
     expect(getIds(view.getMembers())).toEqual(["a1", "a2"]);
     await clock.advance(4_000);
@@ -127,7 +139,13 @@
   });
 
   it("ignores malformed reports", () => {
-    for (const raw of [undefined, [], { live: { a: 1 }, unresponsive: [] }]) {
+    for (
+      const raw of [undefined, [], {
+        live: { a: 1 },
+        stranded: [],
+        unresponsive: [],
+      }]
+    ) {
       expect(DomainView.tryReadReport(raw)).toBeUndefined();
     }
   });
--- a/tests/platform/adapter_test.ts
+++ b/tests/platform/adapter_test.ts
@@ -173,9 +173,37 @@
       deadlineMs: 2500,
       key: "k1",
       affinityKey: "17",
+      isRelayed: false,
     });
   });
 
+  // Guards against a request that another instance rejects as one without a key, and
+  // against one that is passed to and fro.
+  it("keeps the key of a request for another instance, and hides from targets that it was passed on", () => {
+    const raw = [
+      ["Authorization", "Bearer k1"],
+      ["X-Deadline-Ms", "2500"],
+      ["Connection", "keep-alive"],
+    ].flat();
+    const dialect = Headers.headerDialect;
+    const relayed = dialect.formatForInstance(raw, {
+      relayedBy: "front-1",
+      deadlineMs: 2_300,
+    });
+    expect(relayed).toEqual([
+      ...["Authorization", "Bearer k1", "X-Deadline-Ms", "2300"],
+      ...["Anvilroute-Relayed-By", "front-1"],
+    ]);
+    const headers = { "anvilroute-relayed-by": "front-1" };
+    expect(dialect.readCaller(headers).isRelayed).toBe(true);
+    const list = dialect.formatForTarget(relayed, {
+      targetId: "i-1",
+      account: undefined,
+      deadlineMs: 1,
+    });
+    expect(list).not.toContain("Anvilroute-Relayed-By");
+  });
+
   // Guards against a key that reaches a target and against an account name chosen by the caller.
   it("removes the key, the claimed account and per-connection headers from a target's request", () => {
     const raw = [
