Count an instance whose new connections are refused as unable to serve

Cause: such an instance hears from targets, so it stayed in the directory and was chosen for relays; it also took itself for stranded and back 16 times, as late responses can't be told from lost ones without a connection attempt. Change: connections that fail to three targets in a row are verified in several domains; until one succeeds, the instance is limited.

--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -11,7 +11,7 @@
   readonly callerAddress: Types.Address;
   readonly domain: Types.Domain;
   readonly region: Types.Region;
-  /** True while it reaches no target. */
+  /** True while it reaches no target, or can open no connection to one. */
   readonly isStranded: boolean;
 }
 
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -201,7 +201,7 @@
   /** True if another instance may serve the request, as this one reaches no target, or can't open the connection that it needs. */
   function isRelayUseful({ callerFields }: PendingRequest.PendingRequest) {
     if (callerFields.isRelayed) return false;
-    return deps.reach.isStranded() || !deps.reach.canOpen();
+    return deps.reach.isStranded() || deps.reach.isLimited();
   }
 
   /** Passes the request on to another instance, which counts it for its account. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -102,7 +102,11 @@
   let memberState: Types.MemberState = "starting";
   /** Exists once the state is known. */
   const deferred: { reach?: TargetReach.TargetReach } = {};
-  const isStranded = () => deferred.reach?.isStranded() ?? false;
+  /** True while other instances serve callers better than this one. */
+  function isStranded(): boolean {
+    const { reach } = deferred;
+    return reach !== undefined && (reach.isStranded() || reach.isLimited());
+  }
 
   const control = await Control.startControl({
     settings,
@@ -176,8 +180,8 @@
         state.getUsableTargets,
       ),
     probe,
-    onChange(stranded) {
-      if (!stranded) loads.resumeAll();
+    onChange() {
+      if (!isStranded()) loads.resumeAll();
       peers.sendHeartbeatNow();
     },
     clock,
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -27,7 +27,7 @@
   readonly state: StateModule.State;
   readonly dialect: GatewayTypes.HeaderDialect;
   readonly attempts: Attempt.Attempts;
-  readonly reach: Pick<TargetReach.TargetReach, "canOpen" | "isStranded">;
+  readonly reach: Pick<TargetReach.TargetReach, "isLimited" | "isStranded">;
   readonly relay: Relay.Relay;
   readonly placement: Placement.Placement;
   readonly loads: TargetLoad.TargetLoads;
--- a/src/gateway/target_reach.ts
+++ b/src/gateway/target_reach.ts
@@ -7,6 +7,9 @@
  * An instance that has sent to targets and heard from none of them for longer than
  * usual is suspected. Connection attempts to targets of several domains then decide:
  * a target that accepts one shows that only the responses are late.
+ *
+ * A partition may also spare the connections that are open and refuse new ones. The
+ * instance then serves what it can on those, and counts as limited.
  */
 import type * as Clock from "../clock.ts";
 import type * as Log from "../log.ts";
@@ -25,7 +28,7 @@
 const PROBED_TARGETS = 3;
 /** Interval of the attempts to reach targets again, ms. */
 const RECOVERY_PROBE_MS = 300;
-/** Connections to this many targets in a row must have failed before new ones count as impossible. */
+/** Connections to this many targets in a row must have failed before new ones are suspected to be impossible. */
 const FAILED_OPENS = 3;
 
 /** Opens and closes a connection to a target; false if that fails. */
@@ -41,10 +44,10 @@
   recordOpen(target: Types.TargetId, isOpen: boolean): void;
   /** True while no target can be reached. */
   isStranded(): boolean;
+  /** True while connections to targets that are open may work, but no new ones can be opened. */
+  isLimited(): boolean;
   /** Cancelled when the targets are lost; it ends what waits for a target in vain. */
   getLoss(): Cancellation.Cancellation;
-  /** False while connections to targets that are open may work, but no new ones can be opened. */
-  canOpen(): boolean;
   /** Stops probing. */
   close(): void;
 }
@@ -54,8 +57,8 @@
   /** All targets that may receive requests. */
   readonly getTargets: () => readonly State.KnownTarget[];
   readonly probe: Probe;
-  /** Called when this instance has lost all targets, or reaches one again. */
-  readonly onChange: (isStranded: boolean) => void;
+  /** Called when this instance becomes or ceases to be stranded or limited. */
+  readonly onChange: () => void;
   readonly clock: Clock.Clock;
   readonly sleep: (ms: number) => Promise<void>;
   readonly log: Log.Logger;
@@ -67,11 +70,15 @@
   let hasSentSinceContact = false;
   let isWatching = false;
   let isStranded = false;
+  let isLimited = false;
+  let isVerifyingLimit = false;
   let isClosed = false;
   let loss = Cancellation.createCancellation();
   let nextProbeIndex = 0;
 
   function getSuspiciousMs(): number {
+    // Without new connections, late responses can't be told from lost ones by a probe.
+    if (isLimited) return MAX_SUSPICIOUS_MS;
     const silenceMs = SUSPICIOUS_INTERVALS * meanIntervalMs;
     return Math.min(Math.max(silenceMs, MIN_SUSPICIOUS_MS), MAX_SUSPICIOUS_MS);
   }
@@ -89,13 +96,18 @@
     return [...byDomain.values()].slice(0, PROBED_TARGETS);
   }
 
-  /** True if a target accepts a connection or responds meanwhile, or if there is none. */
-  async function isAnyReachable(): Promise<boolean> {
-    const startedAtMs = clock.nowMs();
+  /** True if a target accepts a connection, or if there is no target. */
+  async function isAnyOpen(): Promise<boolean> {
     const targets = chooseProbeTargets();
     if (targets.length === 0) return true;
     const results = await Promise.all(targets.map(opts.probe));
-    return results.includes(true) || lastContactAtMs >= startedAtMs;
+    return results.includes(true);
+  }
+
+  /** True if a target accepts a connection or responds meanwhile. */
+  async function isAnyReachable(): Promise<boolean> {
+    const startedAtMs = clock.nowMs();
+    return await isAnyOpen() || lastContactAtMs >= startedAtMs;
   }
 
   function setStranded(value: boolean): void {
@@ -109,7 +121,21 @@
       log.info("targets-regained", {});
       loss = Cancellation.createCancellation();
     }
-    opts.onChange(value);
+    opts.onChange();
+  }
+
+  function setLimited(value: boolean): void {
+    if (isLimited === value || isClosed) return;
+    isLimited = value;
+    if (value) log.warn("target-connections-refused", {});
+    else log.info("target-connections-accepted", {});
+    opts.onChange();
+  }
+
+  function recordOpened(): void {
+    failedOpens.clear();
+    setLimited(false);
+    recordContact();
   }
 
   function recordContact(): void {
@@ -122,8 +148,19 @@
   async function awaitRecovery(): Promise<void> {
     while (isStranded && !isClosed) {
       await opts.sleep(RECOVERY_PROBE_MS);
-      if (await isAnyReachable()) recordContact();
+      if (await isAnyOpen()) recordOpened();
+    }
+  }
+
+  /** Probes while no new connections can be opened. */
+  async function verifyLimit(): Promise<void> {
+    isVerifyingLimit = true;
+    while (failedOpens.size >= FAILED_OPENS && !isClosed) {
+      if (await isAnyOpen()) recordOpened();
+      else setLimited(true);
+      await opts.sleep(RECOVERY_PROBE_MS);
     }
+    isVerifyingLimit = false;
   }
 
   /** Checks the silence of the targets for as long as something was sent to them. */
@@ -161,13 +198,14 @@
       recordContact();
     },
     recordOpen(target, isOpen) {
-      if (isOpen) failedOpens.clear();
-      else failedOpens.add(target);
-      if (isOpen) recordContact();
+      if (isOpen) return recordOpened();
+      failedOpens.add(target);
+      const isSuspected = failedOpens.size >= FAILED_OPENS;
+      if (isSuspected && !isVerifyingLimit) void verifyLimit();
     },
     isStranded: () => isStranded,
     getLoss: () => loss,
-    canOpen: () => failedOpens.size < FAILED_OPENS,
+    isLimited: () => isLimited,
     close: () => void (isClosed = true),
   };
 }
--- a/src/types.ts
+++ b/src/types.ts
@@ -132,7 +132,7 @@
   readonly shards: readonly number[];
   readonly callerAddress: Address;
   readonly peerAddress: Address;
-  /** True while the sender reaches no target. */
+  /** True while the sender reaches no target, or can open no connection to one. */
   readonly isStranded: boolean;
 }
 
--- a/tests/gateway/target_reach_test.ts
+++ b/tests/gateway/target_reach_test.ts
@@ -13,7 +13,7 @@
     const changes: boolean[] = [];
     let isConnecting = true;
     let probes = 0;
-    const reach = TargetReach.createTargetReach({
+    const reach: TargetReach.TargetReach = TargetReach.createTargetReach({
       getTargets: () =>
         ["north", "south"].flatMap((region) =>
           GatewayData.createTargets(region, 3, region)
@@ -23,7 +23,8 @@
         await clock.sleep(isConnecting ? 2 : CONNECT_TIMEOUT_MS);
         return isConnecting;
       },
-      onChange: (isStranded) => void changes.push(isStranded),
+      onChange: () =>
+        void changes.push(reach.isStranded() || reach.isLimited()),
       clock,
       sleep: clock.sleep,
       log: Log.createLogger("error", {}, () => {}),
@@ -103,15 +104,44 @@
     expect(changes).toEqual([true, false]);
   });
 
-  // Guards against requests that are rejected for want of a connection while those that
-  // are open still work.
-  it("tells that no new connection can be opened after failures at several targets", () => {
-    const { reach } = create();
-    for (const id of ["i-1", "i-1", "i-2"]) reach.recordOpen(id, false);
-    expect(reach.canOpen()).toBe(true);
-    reach.recordOpen("i-3", false);
-    expect(reach.canOpen()).toBe(false);
-    reach.recordOpen("i-2", true);
-    expect(reach.canOpen()).toBe(true);
+  describe("while new connections are refused", () => {
+    /** Lets connections to three targets fail while one that is open serves. */
+    async function refuse() {
+      const rig = create();
+      await rig.serve(1_000, 5, 100);
+      rig.setConnecting(false);
+      for (const id of ["i-1", "i-1", "i-2", "i-3"]) {
+        rig.reach.recordOpen(id, false);
+      }
+      return rig;
+    }
+
+    // Guards against callers that keep coming to an instance which rejects most of them.
+    it("is limited until a target accepts one, also without requests", async () => {
+      const { changes, clock, reach, setConnecting } = await refuse();
+      await clock.advance(CONNECT_TIMEOUT_MS + 50);
+      expect(reach.isLimited()).toBe(true);
+      expect(reach.isStranded()).toBe(false);
+      setConnecting(true);
+      await clock.advance(1_000);
+      expect(reach.isLimited()).toBe(false);
+      expect(changes).toEqual([true, false]);
+    });
+
+    // Guards against requests that are given up although their target responds in time.
+    it("is not lost while responses come seldom", async () => {
+      const { clock, reach, serve } = await refuse();
+      await clock.advance(CONNECT_TIMEOUT_MS + 50);
+      await serve(5_000, 700, 100);
+      expect(reach.isStranded()).toBe(false);
+    });
+
+    it("is not limited if some target accepts a connection", async () => {
+      const { clock, reach, serve } = create();
+      await serve(1_000, 5, 100);
+      for (const id of ["i-1", "i-2", "i-3"]) reach.recordOpen(id, false);
+      await clock.advance(1_000);
+      expect(reach.isLimited()).toBe(false);
+    });
   });
 });
