--- a/testing/kv/kv_target.ts
+++ b/testing/kv/kv_target.ts
@@ -28,6 +28,8 @@
   /** Requests whose connection the gateway closed before the answer. */
   getCancelled(): number;
   setBehaviour(behaviour: Behaviour): void;
+  /** Sets how long each request runs before it is served. */
+  setServiceMs(ms: number): void;
   /** Sets the requests per second that the target names in its responses; undefined for none. */
   setRateLimit(perS: number | undefined): void;
   register(state?: "ready" | "draining", over?: object): void;
@@ -46,6 +48,7 @@
   const arrivedAtMs: number[] = [];
   let rateLimitPerS: number | undefined;
   let behaviour: Behaviour = "serve";
+  let serviceMs = 0;
   let cancelled = 0;
   const server = Http.createServer({ keepAliveTimeout: 10_000 }, (req, res) => {
     const requestId = String(req.headers["x-request-id"]);
@@ -78,7 +81,10 @@
         case "serve":
           ran.push(requestId);
           res.setHeader("X-Server-Stamp", `stamp.${id}`);
-          return void res.end(`${id} ${Buffer.concat(chunks).toString()}`);
+          return void setTimeout(
+            () => res.end(`${id} ${Buffer.concat(chunks).toString()}`),
+            serviceMs,
+          );
       }
     });
   });
@@ -105,6 +111,7 @@
     arrivedAtMs,
     getCancelled: () => cancelled,
     setBehaviour: (next) => void (behaviour = next),
+    setServiceMs: (ms) => void (serviceMs = ms),
     setRateLimit: (perS) => void (rateLimitPerS = perS),
     register,
     close() {
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -223,5 +223,38 @@
       );
       await stopped;
     });
+
+    // Guards against requests that are passed on late in the grace period and cut at its
+    // end, orders among them.
+    it("responds to every request, also to those that come late and take long", async () => {
+      const { front, instances, targets } = await startFleet({
+        targets: 6,
+        config: formatConfig(1).replaceAll(
+          '"timeoutMs":1500,"targetLatencyMs":400',
+          '"timeoutMs":2500,"targetLatencyMs":2500',
+        ),
+      });
+      for (const target of targets) target.setServiceMs(1_500);
+      const stopped = instances[0]!.gateway.stop();
+      const ends: string[] = [];
+      const sending: Promise<unknown>[] = [];
+      const stoppedAtMs = performance.now();
+      while (performance.now() - stoppedAtMs < 4_200) {
+        const end = send(front, "/order/x", {
+          headers: {
+            "x-deadline-ms": "3000",
+            cookie: `X-Affinity-Key=${sending.length}`,
+          },
+        }).then(({ status }) => `${status}`, () => "cut");
+        sending.push(end.then((value) => ends.push(value)));
+        await new Promise((resolve) => setTimeout(resolve, 300));
+      }
+      await Promise.all([...sending, stopped]);
+      // What can't end before the process does is rejected, so that callers may send it again.
+      expect([...new Set(ends)].sort()).toEqual(["200", "503"]);
+      expect(ends.filter((end) => end === "200").length).toBeGreaterThan(7);
+      expect(countRuns(targets))
+        .toBe(ends.filter((end) => end === "200").length);
+    });
   });
 });
