Accept late requests of a planned stop only if they can end before it does

Callers whose list of instances was old sent orders late in the grace period; they ran at their target and were cut without a response. Cause: an instance that stops accepted every request for 4.3 s, whatever its deadline, and closed its connections 1 s later. Ruled out: the accept queue (the request was read and passed on), and the target (it responded after the close). Change: from 3 s after SIGTERM a request is accepted only if its deadline is before the end of the stop; others get 503 "leaving", not run, and may go to another instance at once. What still runs at the end gets its response then, 100 ms before connections close.

--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -43,15 +43,33 @@
 /** Retry advice while no instance that can be reached reaches targets; a partition lasts for seconds. */
 const NO_INSTANCE_RETRY_MS = 300;
 
-/** Handles one caller request and completes or destroys its response. */
-export type Handler = (
-  req: Http.IncomingMessage,
-  res: Http.ServerResponse,
-) => Promise<void>;
+/** Retry advice of an instance that stops; other instances can take the request at once. */
+const LEAVING_RETRY_MS = 50;
 
-/** Creates the handler of caller requests. */
-export function createForwarder(deps: PendingRequest.ForwarderDeps): Handler {
+/** The request path. */
+export interface Forwarder {
+  /** Handles one caller request and completes or destroys its response. */
+  handle(req: Http.IncomingMessage, res: Http.ServerResponse): Promise<void>;
+  /**
+   * Prepares a planned stop. From `acceptUntilMs` on, only requests are accepted whose
+   * deadline is before `endMs` (both monotonic ms); requests that run at `endMs` get
+   * their response then.
+   */
+  prepareStop(stop: PlannedStop): void;
+}
+
+/** When an instance that stops handles its last requests, monotonic ms. */
+export interface PlannedStop {
+  readonly acceptUntilMs: number;
+  readonly endMs: number;
+}
+
+/** Creates the request path. */
+export function createForwarder(deps: PendingRequest.ForwarderDeps): Forwarder {
   const { clock, state } = deps;
+  /** Requests that were accepted and have no response yet. */
+  const running = new Set<Cancellation.CancellationSource>();
+  let plannedStop: PlannedStop | undefined;
   const sender = Sender.createSender(deps);
 
   /** Sends a rejection, logs it with `details` and counts it. */
@@ -387,7 +405,17 @@
     return false;
   }
 
-  return async (req, res) => {
+  /** True if the request may still run when this instance has stopped. */
+  function isTooLate(deadlineAtMs: number): boolean {
+    if (plannedStop === undefined) return false;
+    return clock.nowMs() > plannedStop.acceptUntilMs &&
+      deadlineAtMs > plannedStop.endMs;
+  }
+
+  async function handle(
+    req: Http.IncomingMessage,
+    res: Http.ServerResponse,
+  ): Promise<void> {
     const startedAtMs = clock.nowMs();
     const callerFields = deps.dialect.readCaller(req.headers);
     const request = { res, callerFields, startedAtMs };
@@ -441,9 +469,18 @@
       route.timeoutMs,
       (callerFields.deadlineMs ?? Infinity) - RESPONSE_LATENCY_MS,
     );
+    const deadlineAtMs = startedAtMs + timeoutMs;
+    if (isTooLate(deadlineAtMs)) {
+      const rejection = Rejection.createRejection(
+        "leaving",
+        "not-run",
+        LEAVING_RETRY_MS,
+      );
+      return reject(request, rejection, { ...details, route: route.name });
+    }
     const timer = setTimeout(
       () => cancellation.cancel("deadline"),
-      startedAtMs + timeoutMs - clock.nowMs(),
+      deadlineAtMs - clock.nowMs(),
     );
     const isStranded = deps.reach.isStranded() && !callerFields.isRelayed;
     if (!isStranded && !await tryAdmit(request, account, config.version)) {
@@ -457,7 +494,7 @@
       account,
       configVersion: config.version,
       startedAtMs,
-      deadlineAtMs: startedAtMs + timeoutMs,
+      deadlineAtMs,
       body: bodyResult.data,
       service: deps.splits.chooseService(route),
       affinityKey: callerFields.affinityKey ??
@@ -469,12 +506,25 @@
       mayHaveRun: false,
       sendCount: 0,
     };
+    running.add(cancellation);
     if (isStranded) {
       await relay(pending);
     } else {
       deps.retryBudget.recordRequest(pending.service);
       await forward(pending);
     }
+    running.delete(cancellation);
     clearTimeout(timer);
+  }
+
+  return {
+    handle,
+    prepareStop(stop) {
+      plannedStop = stop;
+      setTimeout(
+        () => running.forEach((request) => request.cancel("deadline")),
+        stop.endMs - clock.nowMs(),
+      ).unref();
+    },
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -49,6 +49,10 @@
 const COLD_RATE_FACTOR = 1.2;
 /** Time after SIGTERM for which the instance still serves, so that callers find other instances. */
 const LEAVE_DELAY_MS = 4_300;
+/** Time after SIGTERM for which every request is accepted. A later one may run only if it ends before the process does. */
+const LEAVE_ACCEPT_MS = 3_000;
+/** Time in which the last responses are written before connections are closed. */
+const RESPONSE_WRITE_MS = 100;
 /** Part of the grace period that is reserved for closing connections and listeners. */
 const STOP_MARGIN_MS = 700;
 const STOP_POLL_MS = 20;
@@ -197,7 +201,7 @@
         acceptMs: Math.round(acceptMs),
       }),
   );
-  const handler = Forwarder.createForwarder({
+  const forwarder = Forwarder.createForwarder({
     state,
     dialect: deps.dialect,
     attempts: Attempt.createAttempts({
@@ -305,7 +309,7 @@
 
   const callerListener = await Servers.listen(
     settings.listen.caller,
-    handler,
+    forwarder.handle,
     onError,
     readDelay.record,
   );
@@ -351,6 +355,10 @@
     memberState = "leaving";
     log.info("leaving", { inFlight: callerListener.getInFlight() });
     callerListener.setLeaving();
+    forwarder.prepareStop({
+      acceptUntilMs: startedAtMs + LEAVE_ACCEPT_MS,
+      endMs: deadlineAtMs - RESPONSE_WRITE_MS,
+    });
     void control.leave();
     await Clock.sleep(LEAVE_DELAY_MS);
     await callerListener.closeIdle();
