Shrink the accept queue before a server stops to listen

Callers without pauses that open one connection after another lost 31 to 39 requests at a planned stop: the kernel accepts ahead of the process, and what it holds is reset when the process stops to listen. Cause: new connections kept arriving while the queue was emptied, so after 1 s the server closed with the queue as full as before. Change: the backlog of the listening socket is set to 0 first, so that the kernel accepts one connection ahead at most. It drops the others' opening packets; their callers find the port closed when they send them again.

--- a/src/http_connections.ts
+++ b/src/http_connections.ts
@@ -8,6 +8,8 @@
 
 /** Longest time for which a server that stops still accepts the connections that the kernel holds. */
 const MAX_ACCEPT_DRAIN_MS = 1_000;
+/** Smallest backlog of a listening socket; the kernel accepts one connection ahead with it. */
+const MIN_BACKLOG = 0;
 /** In an iteration of the event loop that is shorter, hardly any connection arrives after the check for new ones. */
 const SHORT_ITERATION_MS = 2;
 /** Time for which a connection that was accepted before the stop may send its first request. */
@@ -37,6 +39,22 @@
   inFlight: number;
 }
 
+/** The part of Node's handle of a listening socket that is used here; Node has no public interface for it. */
+interface ListenHandle {
+  /** Sets the number of connections that the kernel accepts ahead of the process. */
+  readonly listen: (backlog: number) => number;
+}
+
+/**
+ * Lets the kernel accept hardly any connection ahead of the process, so that the ones
+ * that it holds can be accepted faster than others arrive. Callers whose connection
+ * it doesn't accept any more find it refused when the server has stopped to listen.
+ */
+function shrinkAcceptQueue(server: Net.Server): void {
+  const { _handle: handle } = server as { _handle?: Partial<ListenHandle> };
+  handle?.listen?.(MIN_BACKLOG);
+}
+
 /** How late the first request of a connection was read. */
 export interface FirstRead {
   /** Time in ms between accepting the connection and reading its request. */
@@ -148,6 +166,7 @@
       ).length,
     async stop(onClosed) {
       // The connections that the kernel has accepted are reset when it stops to listen.
+      shrinkAcceptQueue(server);
       await drainAcceptQueue();
       // The method of the HTTP server would also close connections without a request.
       Net.Server.prototype.close.call(server, onClosed);
