Give listeners of tests loopback addresses of their own process

Seven entries of KNOWN-RED.txt read as one fault of the rig: a port that a listener released, because it refuses connections or its process was killed, was taken by another process of the run (EADDRINUSE, a stand-in that answers for another). Shown by a test: while a fault proxy refuses connections, another listener takes its port, and the proxy can't open again (red before, green now). Cause: all of them got ports of 127.0.0.1, from which the system serves every process.

--- a/testing/fleet/network.ts
+++ b/testing/fleet/network.ts
@@ -9,6 +9,7 @@
 import * as Faults from "../fault_proxy/faults.ts";
 import * as Proxy from "../fault_proxy/proxy.ts";
 import * as Listener from "../listener.ts";
+import * as Loopback from "../loopback.ts";
 
 const TARGET_PROBE_INTERVAL_MS = 50;
 
@@ -61,7 +62,7 @@
 ): TestNetwork {
   let connections = 0;
   const ips = new Map(
-    domains.map((domain, i) => [domain, `127.0.1.${i + 1}`]),
+    domains.map((domain, i) => [domain, Loopback.getOwnIp(i + 2)]),
   );
   const places = [...domains, CALLERS, PLATFORM];
   const faults = new Map<string, Partial<Faults.DirectionFaults>>();
--- a/testing/listener.ts
+++ b/testing/listener.ts
@@ -3,7 +3,9 @@
 import * as Clock from "../src/clock.ts";
 import type * as Types from "../src/types.ts";
 import * as HttpJson from "./http_json.ts";
+import * as Loopback from "./loopback.ts";
 
+const ANY_PORT = "127.0.0.1:0";
 /** The port may be in use for a moment by an outgoing connection. */
 const REOPEN_ATTEMPTS = 100;
 const REOPEN_INTERVAL_MS = 50;
@@ -17,7 +19,7 @@
   resetConnections(): void;
 }
 
-/** Starts listening. */
+/** Starts listening; a port of the system's choice is one of an address of this process. */
 export async function createListener(
   server: Net.Server,
   listen: Types.Address,
@@ -27,7 +29,10 @@
     sockets.add(socket);
     socket.once("close", () => sockets.delete(socket));
   });
-  const address = await HttpJson.listen(server, listen);
+  const address = await HttpJson.listen(
+    server,
+    listen === ANY_PORT ? `${Loopback.getOwnIp(1)}:0` : listen,
+  );
   let isWantedOpen = true;
   /** Changes run one after another: a server can't be opened twice at a time. */
   let lastChange = Promise.resolve();
--- a/tests/fault_proxy_test.ts
+++ b/tests/fault_proxy_test.ts
@@ -234,6 +234,22 @@
     await connectAndEcho();
   });
 
+  // Other processes of a test run get ports of 127.0.0.1 from the operating system, also
+  // one that was released a moment before.
+  it("guards against a port that another process takes while connections are refused", async () => {
+    await proxy.setFaults({ refuse: true });
+    const { port } = HttpJson.parseAddress(proxy.address);
+    const other = Net.createServer();
+    await HttpJson.listen(other, `127.0.0.1:${port}`);
+    try {
+      expect((await connect()).getError()).toBe("ECONNREFUSED");
+      await proxy.heal();
+      await connectAndEcho();
+    } finally {
+      other.close();
+    }
+  });
+
   it("guards against a dead target that looks alive through the proxy", async () => {
     const server = Net.createServer(serveEcho);
     const address = await HttpJson.listen(server, "127.0.0.1:0");
