Take what a restored store holds at once if the hold has passed

An instance that was cut off from store and peers for longer than the hold kept its configuration for ever, while the others had returned to the store's. Cause: the state refuses a lower version outside the hold. Found by reading; its test is red without the change (by the state's own test of that rule).

--- a/src/gateway/restore_guard.ts
+++ b/src/gateway/restore_guard.ts
@@ -99,15 +99,16 @@
     return isTarget ? opts.targetHoldMs : OPERATOR_HOLD_MS;
   }
 
-  /** Returns the time until which the change is held back, or undefined if it takes effect at once. */
+  /** Returns the time until which the change is held back, possibly a past one; undefined if it takes effect at once. */
   function tryGetHoldEnd(stored: StoredChange): number | undefined {
     const ageMs = opts.getRestoreAgeMs();
     if (ageMs === undefined) return undefined;
+    const remainingMs = getHoldMs(stored.change) - ageMs;
     // Operators may write their versions again in series, each with a change of its own.
-    const mayBeOlder = stored.isRestored || stored.change.kind === "config";
+    const isSeries = stored.change.kind === "config" && remainingMs > 0;
+    const mayBeOlder = stored.isRestored || isSeries;
     if (!mayBeOlder || !isStepBack(stored)) return undefined;
-    const remainingMs = getHoldMs(stored.change) - ageMs;
-    return remainingMs > 0 ? clock.nowMs() + remainingMs : undefined;
+    return clock.nowMs() + remainingMs;
   }
 
   function releaseDue(): void {
@@ -134,7 +135,9 @@
     heldChanges.delete(key);
     const untilMs = tryGetHoldEnd(stored);
     if (untilMs === undefined) return false;
-    hold(key, { change, superseding, untilMs });
+    // An instance that was cut off may learn of the restore only after the hold.
+    if (untilMs <= clock.nowMs()) state.applyRollback(change);
+    else hold(key, { change, superseding, untilMs });
     return true;
   }
 
--- a/tests/gateway/restore_guard_test.ts
+++ b/tests/gateway/restore_guard_test.ts
@@ -85,6 +85,16 @@
     expect(getVersion()).toBe(13);
   });
 
+  // Guards against an instance that was cut off and keeps for ever what the others gave up.
+  it("takes what the copy holds at once if the hold has passed", async () => {
+    const { clock, getVersion, readCopy, restore, write } = create();
+    write(config(16));
+    restore();
+    await clock.advance(OPERATOR_HOLD_MS + 1_000);
+    readCopy(config(13));
+    expect(getVersion()).toBe(13);
+  });
+
   // Guards against operators' tools that write their versions again in series.
   it("takes a version that is written again with a higher number at once, a lower one not", async () => {
     const { clock, getVersion, readCopy, restore, write } = create();
