Send the flag of a stranded instance only while it is set

Cause: fields are sent unless they were sent before with the same value. Change: a field that has the value which a receiver assumes isn't sent at first, so that an instance that reaches its targets sends the same bytes as before; the baseline stays as it is. golden_test.ts is green again.

--- a/src/peer/heartbeat.ts
+++ b/src/peer/heartbeat.ts
@@ -112,6 +112,11 @@
   )[],
 );
 
+/** Fields that are sent only once they differ from the value that the receiver assumes. */
+const DEFAULT_JSON: ReadonlyMap<string, string> = new Map([
+  ["isStranded", "false"],
+]);
+
 /** A rarely changing field; `json` is its encoded value, which shows whether it changed. */
 type EncodedField = readonly [name: string, value: unknown, json: string];
 
@@ -199,7 +204,9 @@
     encode(heartbeat, nowMs) {
       const { storeSeenMsAgo, relayedStoreSeenMsAgo, load } = heartbeat;
       const changedFields = encodeRareFields(heartbeat)
-        .filter(([name, , json]) => sentJson.get(name) !== json);
+        .filter(([name, , json]) =>
+          (sentJson.get(name) ?? DEFAULT_JSON.get(name)) !== json
+        );
       for (const [name, , json] of changedFields) sentJson.set(name, json);
       const params = [
         assignStamp(nowMs),
