--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,4 @@
 /** Composition of a gateway instance: the order in which its modules start, and its graceful stop. */
-import type * as Http from "node:http";
 import * as Clock from "../clock.ts";
 import type * as Log from "../log.ts";
 import * as Metrics from "../metrics/metrics.ts";
@@ -12,7 +11,8 @@
 import * as Connections from "./connections.ts";
 import type * as Contracts from "./contracts.ts";
 import * as Control from "./control.ts";
-import * as Directory from "./directory.ts";
+import type * as Directory from "./directory.ts";
+import * as Endpoints from "./endpoints.ts";
 import * as Forwarder from "./forwarder.ts";
 import * as Intake from "./intake.ts";
 import type * as PendingRequest from "./pending_request.ts";
@@ -36,17 +36,6 @@
 import * as CacheState from "./cache_state.ts";
 import * as WorkingSet from "./working_set.ts";
 
-/** Time for which callers cache a directory response; after three times this, no caller uses a leaving instance. */
-const DIRECTORY_TTL_S = 1;
-/**
- * Cache time of a directory response in a large fleet. With 87 instances and the
- * shorter time, lookups were a third of all responses (27,159 beside 48,837
- * requests). A response names so many instances there that one that has stopped
- * makes few callers retry.
- */
-const LARGE_FLEET_TTL_S = 2;
-/** A fleet with more instances is large. */
-const LARGE_FLEET_INSTANCES = 24;
 /** Share of the fleet's second sends that instances use; the remainder covers what they do not know about each other. */
 const RETRY_SAFETY_FACTOR = 0.92;
 /** Factor by which a cold target may exceed its stated rate; targets crash only well above that rate. */
@@ -74,25 +63,12 @@
   /** Store prefixes of the configuration, evacuations and targets. */
   readonly watchedPrefixes: readonly string[];
   /** Parses directory queries and formats their responses. */
-  readonly directory: DirectoryDialect;
+  readonly directory: Endpoints.DirectoryDialect;
   readonly log: Log.Logger;
   /** Writes complete log lines about requests; must not block. */
   readonly writeText: (text: string) => void;
 }
 
-/** The platform's URL and response format of the directory. */
-export interface DirectoryDialect {
-  /** Returns the region and domain of the caller; undefined if the URL is not a directory query. */
-  tryParseQuery(url: string): {
-    readonly region: Types.Region;
-    readonly domain: Types.Domain;
-  } | undefined;
-  /** Returns the value of the JSON response; callers may cache it for `ttlS` seconds. */
-  formatResponse(addresses: readonly Types.Address[], ttlS: number): unknown;
-  /** True if the URL queries whether this instance is ready. */
-  isReadinessQuery(url: string): boolean;
-}
-
 /** A running instance. */
 export interface Gateway {
   /** Stops gracefully; resolves when requests have ended or the grace period has expired. */
@@ -282,40 +258,13 @@
     });
   }
 
-  function handleDirectoryRequest(
-    req: Http.IncomingMessage,
-    res: Http.ServerResponse,
-  ): void {
-    const query = deps.directory.tryParseQuery(req.url ?? "");
-    if (query === undefined) return Servers.sendJson(res, 404, {});
-    const { domain, region } = query;
-    const addresses = Directory.chooseAddresses(
-      getDirectoryInstances(),
-      region,
-      domain,
-    );
-    if (addresses.length === 0) return Servers.sendJson(res, 503, {});
-    const maxTtlS = settings.timing.maxDirectoryTtlMs / 1_000;
-    const isLarge = control.getFleetCount() > LARGE_FLEET_INSTANCES;
-    const ttlS = Math.min(
-      isLarge ? LARGE_FLEET_TTL_S : DIRECTORY_TTL_S,
-      maxTtlS,
-    );
-    const response = deps.directory.formatResponse(addresses, ttlS);
-    Servers.sendJson(res, 200, response);
-  }
-
-  function handleReadinessRequest(
-    req: Http.IncomingMessage,
-    res: Http.ServerResponse,
-  ): void {
-    if (!deps.directory.isReadinessQuery(req.url ?? "")) {
-      return Servers.sendJson(res, 404, {});
-    }
-    const status = memberState === "live" ? 200 : 503;
-    Servers.sendJson(res, status, { state: memberState });
-  }
-
+  const endpoints = Endpoints.createEndpoints({
+    dialect: deps.directory,
+    getInstances: getDirectoryInstances,
+    getFleetCount: control.getFleetCount,
+    getMemberState: () => memberState,
+    maxTtlMs: settings.timing.maxDirectoryTtlMs,
+  });
   const callerListener = await Servers.listen(
     settings.listen.caller,
     intake.handle,
@@ -323,8 +272,12 @@
     readDelay.record,
   );
   const otherListeners = await Promise.all([
-    Servers.listen(settings.listen.ready, handleReadinessRequest, onError),
-    Servers.listen(settings.listen.directory, handleDirectoryRequest, onError),
+    Servers.listen(settings.listen.ready, endpoints.handleReadiness, onError),
+    Servers.listen(
+      settings.listen.directory,
+      endpoints.handleDirectory,
+      onError,
+    ),
     Servers.listen(
       settings.listen.metrics,
       (_req, res) => Servers.sendText(res, 200, metrics.formatText()),
--- a/tests/gateway/restored_store_test.ts
+++ b/tests/gateway/restored_store_test.ts
@@ -15,6 +15,13 @@
     return (await send(address, "/read/x", { headers })).status === 200;
   });
 
+/** Waits until the instance responds to a read with the status. */
+const untilStatus = (address: string, status: number, description: string) =>
+  until(
+    description,
+    async () => (await send(address, "/read/x")).status === status,
+  );
+
 describe("a store that returns from an older copy", () => {
   // Guards against a configuration without effect because its revision was given out
   // before.
@@ -58,16 +65,10 @@
     const { front, kv, targets } = await startFleet({ targets: 1 });
     const copy = kv.copy();
     kv.remove("servers/i-0");
-    await until(
-      "no target is left",
-      async () => (await send(front, "/read/x")).status === 503,
-    );
+    await untilStatus(front, 503, "no target is left");
     kv.restore(copy);
     targets[0]!.register();
-    await until(
-      "the target serves",
-      async () => (await send(front, "/read/x")).status === 200,
-    );
+    await untilStatus(front, 200, "the target serves");
   });
 
   // Guards against instances that start afterwards and find no peers.
@@ -158,10 +159,7 @@
       const { front, kv } = await startFleet({ targets: 1 });
       const copy = kv.copy();
       kv.remove("servers/i-0");
-      await until(
-        "no target is left",
-        async () => (await send(front, "/read/x")).status === 503,
-      );
+      await untilStatus(front, 503, "no target is left");
       kv.restore(copy);
       expect(await observe(front)).toEqual(["503"]);
     });
@@ -170,16 +168,10 @@
     it("keeps a target whose entry was lost", async () => {
       const { front, kv, targets } = await startFleet({ targets: 1 });
       kv.remove("servers/i-0");
-      await until(
-        "no target is left",
-        async () => (await send(front, "/read/x")).status === 503,
-      );
+      await untilStatus(front, 503, "no target is left");
       const copy = kv.copy();
       targets[0]!.register();
-      await until(
-        "the target serves",
-        async () => (await send(front, "/read/x")).status === 200,
-      );
+      await untilStatus(front, 200, "the target serves");
       kv.restore(copy);
       expect(await observe(front)).toEqual(["i-0"]);
     });
@@ -189,10 +181,7 @@
       const { front, kv } = await startFleet();
       const copy = kv.copy();
       kv.put("op/evacuate/north-a", "{}");
-      await until(
-        "the domain is evacuated",
-        async () => (await send(front, "/read/x")).status === 503,
-      );
+      await untilStatus(front, 503, "the domain is evacuated");
       kv.restore(copy);
       expect(await observe(front)).toEqual(["503"]);
     });
@@ -201,19 +190,13 @@
       const { front, kv } = await startFleet();
       const copy = kv.copy();
       kv.put("op/evacuate/north-a", "{}");
-      await until(
-        "the domain is evacuated",
-        async () => (await send(front, "/read/x")).status === 503,
-      );
+      await untilStatus(front, 503, "the domain is evacuated");
       kv.restore(copy);
       await Clock.sleep(500);
       kv.put("op/evacuate/north-a", "{}");
       await Clock.sleep(500);
       kv.remove("op/evacuate/north-a");
-      await until(
-        "requests are served again",
-        async () => (await send(front, "/read/x")).status === 200,
-      );
+      await untilStatus(front, 200, "requests are served again");
     });
 
     // Guards against an instance that starts meanwhile and serves by what the copy holds.
