Count and log the peer messages that are discarded

Three explanations were open: the reports are not sent, they are lost on the way, or their receivers refuse them.

A server of peer messages now hands the errors of its handlers to a listener. The network counts them, and notifications too long to send, in the gauge peerMessagesDiscarded and logs one line per method and 10 s. A push of items that can't be read counts, too; it was ignored before.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -43,6 +43,8 @@
 /** Callers retry within minutes; the ledger keeps records for that long. */
 const TICKET_TTL_MS = 10 * 60_000;
 const MAX_QUEUED_PER_ACCOUNT = 200;
+/** Interval at which the figures of the peer network are put into the metrics, ms. */
+const PEER_USAGE_INTERVAL_MS = 10_000;
 const READY_POLL_MS = 20;
 /** After this time the instance serves without store and peers; its rejections then state the reason. */
 const READY_TIMEOUT_MS = 15_000;
@@ -240,6 +242,11 @@
   });
   targets.start();
   rootSupervisor.every("ledger-sweep", ledger.sweepIntervalMs, ledger.sweep);
+  rootSupervisor.every(
+    "peer-usage",
+    PEER_USAGE_INTERVAL_MS,
+    () => metrics.gauge("peerMessagesDiscarded", peers.getDiscardedCount()),
+  );
 
   const ready = startServing();
 
--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -386,6 +386,7 @@
         pulls: itemCounts.pulls,
         members: peers.getMembers().length,
         connected: peers.getConnectedCount(),
+        peerMessagesDiscarded: peers.getDiscardedCount(),
       };
     },
   };
--- a/src/gateway/item_sync.ts
+++ b/src/gateway/item_sync.ts
@@ -146,7 +146,7 @@
 
   function handlePush(params: unknown, sender: Types.InstanceId): void {
     const batch = tryReadBatch(params);
-    if (batch === undefined) return;
+    if (batch === undefined) throw new TypeError(`malformed ${PUSH_METHOD}`);
     if (ItemsModule.isBehind(items.getRevisions(), batch.before)) {
       // Changes before this push were missed; applying it alone would hide the gap.
       void pull(sender);
--- a/src/peer/connection.ts
+++ b/src/peer/connection.ts
@@ -9,6 +9,7 @@
 
 const CODE_TIMEOUT = -32_001;
 const CODE_MESSAGE_TOO_LONG = -32_002;
+const UNKNOWN_METHOD = "unknown method";
 
 /**
  * Handler of a method. It returns the result of the call or a promise of it;
@@ -68,31 +69,61 @@
   getBytes(): { readonly received: number; readonly sent: number };
 }
 
+/** Receives the error of a handler, or the reason why a message has none. */
+export type ErrorListener = (
+  method: string,
+  conn: Connection,
+  err: unknown,
+) => void;
+
 /**
- * Creates a server for `createConnection`. It logs no errors of handlers, as
- * the caller receives them.
+ * Creates a server for `createConnection`. `onError` receives the errors of all
+ * handlers; the caller of a request receives them as well.
  */
-export function createServer(): Server {
+export function createServer(onError: ErrorListener = () => {}): Server {
   const server = new JsonRpc.JSONRPCServer<Connection>({
     errorListener: () => {},
   });
   const methods = new Map<string, Method>();
 
+  /** Adds the listener to a handler without a promise for the result of a synchronous one. */
+  function observe(name: string, method: Method): Method {
+    return (params, conn) => {
+      try {
+        const result = method(params, conn);
+        if (result instanceof Promise) {
+          result.catch((err) => onError(name, conn, err));
+        }
+        return result;
+      } catch (err) {
+        onError(name, conn, err);
+        throw err;
+      }
+    };
+  }
+
   return {
     addMethod(name, method) {
-      methods.set(name, method);
-      server.addMethod(name, method);
+      const observed = observe(name, method);
+      methods.set(name, observed);
+      server.addMethod(name, observed);
+    },
+    async handleRequest(req, conn) {
+      if (!methods.has(req.method)) onError(req.method, conn, UNKNOWN_METHOD);
+      return await server.receive(req, conn);
     },
-    handleRequest: async (req, conn) => await server.receive(req, conn),
     handleNotification(req, conn) {
       // Bypasses the library, which creates promises for a response that is never
       // sent. Most messages are heartbeats, and these promises took a quarter of
       // the CPU time of an idle instance.
+      const method = methods.get(req.method);
+      if (method === undefined) {
+        return onError(req.method, conn, UNKNOWN_METHOD);
+      }
       try {
-        const result = methods.get(req.method)?.(req.params, conn);
-        if (result instanceof Promise) result.catch(() => {});
+        method(req.params, conn);
       } catch {
-        // A notification has no response to carry the error; the library drops it too.
+        // The listener has the error; a notification has no response to carry it.
       }
     },
   };
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -8,6 +8,7 @@
 import * as Connection from "./connection.ts";
 import * as Dial from "./dial.ts";
 import * as Dialer from "./dialer.ts";
+import * as Discards from "./discards.ts";
 import * as Discovery from "./discovery.ts";
 import type * as Handshake from "./handshake.ts";
 import * as Heartbeat from "./heartbeat.ts";
@@ -59,6 +60,8 @@
   sendHeartbeatNow(): void;
   /** Accepts peers that know this secret, too. */
   addSecret(secret: string): void;
+  /** Messages discarded since the start, because they were malformed or too long to send. */
+  getDiscardedCount(): number;
   /** Bytes of all peer connections since the process started. */
   getBytes(): { readonly received: number; readonly sent: number };
 }
@@ -98,7 +101,10 @@
   const secrets = [args.secret];
   const selectPeers = args.selectPeers ??
     ((members) => Mesh.selectPeers({ id: self, domain: args.domain }, members));
-  const server = Connection.createServer();
+  const discards = Discards.createDiscards({ clock, log });
+  const server = Connection.createServer((method, conn, err) =>
+    discards.record({ method, peer: conn.remote.id, reason: String(err) })
+  );
   const tasks = Tasks.createTaskGroup(log);
   const connectionChanges = Tasks.createNotifier();
   const registry = Registry.createRegistry(self, incarnation, log);
@@ -257,6 +263,18 @@
     for (const member of heartbeats) dialer.add(member.peerAddress, member.id);
   }
 
+  /** Encodes a notification; undefined if it is too long to send. */
+  function formatNotification(
+    method: string,
+    params: unknown,
+  ): string | undefined {
+    const line = Connection.formatNotification(method, params);
+    if (line === undefined) {
+      discards.record({ method, reason: "message too long to send" });
+    }
+    return line;
+  }
+
   function isUsable(id: Types.InstanceId): boolean {
     const isLeaving = members.tryGetHeartbeat(id)?.state === "leaving";
     return !isLeaving && !calls.isFailing(id);
@@ -334,13 +352,13 @@
     tryGetMember: members.tryGet,
     call: calls.call,
     notifyAll(method, params) {
-      const line = Connection.formatNotification(method, params);
+      const line = formatNotification(method, params);
       if (line === undefined) return;
       for (const conn of registry.getPreferred()) conn.sendLine(line);
     },
     notify(ids, method, params) {
       if (ids.length === 0) return;
-      const line = Connection.formatNotification(method, params);
+      const line = formatNotification(method, params);
       if (line === undefined) return;
       for (const id of ids) registry.tryGet(id)?.sendLine(line);
     },
@@ -353,6 +371,7 @@
     getReachability: calls.getReachability,
     isUsable,
     getConnectedCount: () => registry.getPreferred().length,
+    getDiscardedCount: discards.getCount,
     getBytes: registry.getBytes,
     sendHeartbeatNow,
     addSecret: (secret) => void secrets.push(secret),
