Name requests in poison reports by a digest of fixed length

What callers saw: a request that crashes the targets that run it was not stopped if its path is long.

Cause: peers accept names of requests of up to 256 characters, and the name held the whole URL and the affinity key. Evidence: on the code before, with discarded messages counted (trial), each report arrived and each receiver discarded it. Ruled out by that: reports that are not sent, or lost on the way.

A target's id that is longer than receivers accept is reported by its digest; the response to an instance that starts holds what fits into a message, since one that is longer is not sent at all.

--- a/src/admission/context.ts
+++ b/src/admission/context.ts
@@ -11,6 +11,7 @@
 import type * as Log from "../log.ts";
 import type * as Ledger from "../once/handover.ts";
 import type * as Relay from "../once/relay.ts";
+import * as Fingerprint from "../retry/fingerprint.ts";
 import type * as Types from "../types.ts";
 import type * as Placement from "./placement.ts";
 
@@ -92,20 +93,26 @@
   return Crypto.randomBytes(9).toString("base64url");
 }
 
-/** Returns a hash over account, method, service, path, query and the buffered start of the body. */
+/** Returns the fingerprint over account, method, service, path, query and the buffered start of the body. */
 export function getFingerprint(
   account: Types.Account,
   method: string,
   route: Path.RequestPath,
   body: Body.RequestBody,
 ): string {
-  const hash = Crypto.createHash("sha256");
-  hash.update(
-    JSON.stringify([account, method, route.service, route.path, route.query]),
-  );
-  if (body.kind === "whole") hash.update(body.data);
-  if (body.kind === "stream") hash.update(body.head);
-  return hash.digest("base64url");
+  const fields = [account, method, route.service, route.path, route.query];
+  return Fingerprint.createFingerprint(fields, getKnownBody(body));
+}
+
+function getKnownBody(body: Body.RequestBody): Buffer | undefined {
+  switch (body.kind) {
+    case "none":
+      return undefined;
+    case "whole":
+      return body.data;
+    case "stream":
+      return body.head;
+  }
 }
 
 /** Remaining time before the deadline in ms, at least 0. */
--- a/src/gateway/intake.ts
+++ b/src/gateway/intake.ts
@@ -2,9 +2,9 @@
  * Takes in the requests of callers: finds the route, checks the key, reads the body,
  * checks the account's limit and passes the request to the forwarder.
  */
-import * as Crypto from "node:crypto";
 import type * as Http from "node:http";
 import * as CallerEnd from "../caller_end.ts";
+import * as Fingerprint from "../retry/fingerprint.ts";
 import * as Body from "./body.ts";
 import * as Cancellation from "./cancellation.ts";
 import type * as Forwarder from "./forwarder.ts";
@@ -54,20 +54,6 @@
   const running = new Set<Cancellation.CancellationSource>();
   let plannedStop: PlannedStop | undefined;
 
-  /** Identifies equal requests of an account, for the detection of poison requests. */
-  function computeFingerprint(
-    req: Http.IncomingMessage,
-    account: GatewayTypes.AccountSpec | undefined,
-    callerFields: GatewayTypes.CallerFields,
-    body: Buffer | undefined,
-  ): string {
-    const identity =
-      `${account?.name} ${req.method} ${req.url} ${callerFields.affinityKey}`;
-    if (body === undefined) return identity;
-    const digest = Crypto.createHash("sha1").update(body).digest("base64");
-    return `${identity} ${digest}`;
-  }
-
   /** Acquires a token of the account's limit; rejects the request and returns false if there is none. */
   async function tryAdmit(
     request: Responder.ReadRequest,
@@ -143,10 +129,8 @@
         route: route.name,
       });
     }
-    const fingerprint = computeFingerprint(
-      req,
-      account,
-      callerFields,
+    const fingerprint = Fingerprint.createFingerprint(
+      [account?.name, req.method, req.url, callerFields.affinityKey],
       bodyResult.data,
     );
     if (deps.poison.isBlocked(fingerprint)) {
--- a/src/retry/poison.ts
+++ b/src/retry/poison.ts
@@ -249,16 +249,17 @@
     }
   }
 
-  /** Returns all blocks and suspicions, for a peer that has just started. */
+  /** Returns the blocks and suspicions that fit into one message, for a peer that has just started. */
   function getReports(): readonly Reports.ConnectionLossReport[] {
     const now = clock.nowMs();
-    return [...suspicions].map(([fingerprint, suspicion]) => ({
-      kind: "broke",
+    const reports = [...suspicions].map(([fingerprint, suspicion]) => ({
+      kind: "broke" as const,
       fingerprint,
       targets: [...suspicion.targets],
       blockMs: Math.max(0, suspicion.blockedUntilMs - now),
       isExplained: !suspicion.isUnexplained,
     }));
+    return Reports.selectForMessage(reports);
   }
 
   async function pull(peer: Types.InstanceId): Promise<void> {
@@ -275,9 +276,14 @@
       hasPulled = false;
       return;
     }
+    let discarded = 0;
     for (const item of response.value.slice(0, MAX_FINGERPRINTS)) {
       const message = Reports.tryParse(item);
       if (message?.kind === "broke") handleMessage(message);
+      else discarded++;
+    }
+    if (discarded > 0) {
+      log.warn("poison-reports-discarded", { peer, discarded });
     }
   }
 
@@ -311,7 +317,8 @@
   return {
     isBlocked,
     confirmBlock,
-    reportConnectionLoss(fingerprint, target, sentAtMs = clock.nowMs()) {
+    reportConnectionLoss(fingerprint, targetId, sentAtMs = clock.nowMs()) {
+      const target = Reports.getReportedTarget(targetId);
       const isLossExplained = isExplained(fingerprint, sentAtMs);
       const hasNewEvidence = addEvidence(
         fingerprint,
--- a/src/retry/poison_reports.ts
+++ b/src/retry/poison_reports.ts
@@ -1,10 +1,15 @@
 /** Messages of the method `poison.report` between instances, and their validation. */
+import * as Crypto from "node:crypto";
+import * as Wire from "../peer/wire.ts";
 import type * as Types from "../types.ts";
 
+/** Instances of earlier builds send fingerprints of up to this length. */
 const MAX_FINGERPRINT_LENGTH = 256;
 const MAX_REPORTED_TARGETS = 16;
 const MAX_TARGET_LENGTH = 128;
 const MAX_BLOCK_MS = 5 * 60_000;
+/** Bytes of the reports in one message; the rest of the line holds the frame of the message. */
+const MAX_REPORTS_BYTES = Wire.MAX_LINE_BYTES - 1_024;
 
 /** Reports targets whose connection was lost while they ran the request. */
 export interface ConnectionLossReport {
@@ -25,6 +30,38 @@
   | { readonly kind: "answered"; readonly fingerprint: string }
   | { readonly kind: "pull" };
 
+/**
+ * Returns the name of a target in reports: its id, or a digest of an id that is
+ * longer than receivers accept.
+ */
+export function getReportedTarget(target: Types.TargetId): Types.TargetId {
+  if (target.length <= MAX_TARGET_LENGTH) return target;
+  return Crypto.createHash("sha256").update(target).digest("base64url");
+}
+
+/**
+ * Returns the reports that fit into one message, in their order. Reports of blocked
+ * requests are selected first, then the newest; `reports` begins with the oldest.
+ */
+export function selectForMessage(
+  reports: readonly ConnectionLossReport[],
+): readonly ConnectionLossReport[] {
+  const isBlock = ({ blockMs = 0 }: ConnectionLossReport) => blockMs > 0;
+  const newestFirst = reports.toReversed();
+  const byImportance = [
+    ...newestFirst.filter(isBlock),
+    ...newestFirst.filter((report) => !isBlock(report)),
+  ];
+  const selected = new Set<ConnectionLossReport>();
+  let bytes = 0;
+  for (const report of byImportance) {
+    bytes += Buffer.byteLength(JSON.stringify(report)) + 1;
+    if (bytes > MAX_REPORTS_BYTES) break;
+    selected.add(report);
+  }
+  return reports.filter((report) => selected.has(report));
+}
+
 function isBoundedString(value: unknown, maxLength: number): value is string {
   return typeof value === "string" && value !== "" && value.length <= maxLength;
 }
--- /dev/null
+++ b/tests/poison_reports_test.ts
@@ -0,0 +1,105 @@
+import * as FastCheck from "fast-check";
+import { describe, expect, it } from "vitest";
+import * as Connection from "../src/peer/connection.ts";
+import * as Fingerprint from "../src/retry/fingerprint.ts";
+import * as Reports from "../src/retry/poison_reports.ts";
+
+/** Longest head of a request that the largest limit of the platform allows. */
+const MAX_FIELD_CHARS = 20_000;
+const field = FastCheck.option(
+  FastCheck.string({ maxLength: MAX_FIELD_CHARS, size: "max" }),
+  { nil: undefined },
+);
+
+describe("fingerprints of requests", () => {
+  // Guards against memory that callers determine: instances keep 10,000 fingerprints.
+  it("have one length, whatever a caller sends", () => {
+    FastCheck.assert(
+      FastCheck.property(
+        FastCheck.array(field, { maxLength: 5 }),
+        FastCheck.uint8Array({ maxLength: 2_000 }),
+        (fields, body) => {
+          const fingerprint = Fingerprint.createFingerprint(
+            fields,
+            Buffer.from(body),
+          );
+          expect(fingerprint).toHaveLength(Fingerprint.FINGERPRINT_LENGTH);
+        },
+      ),
+    );
+  });
+
+  // Guards against a caller whose request is taken for that of another account.
+  it("differ if text moves from one field to the next, or into the body", () => {
+    const body = Buffer.from("b");
+    const fingerprints = [
+      Fingerprint.createFingerprint(["hut", "GET", "/x", "17"], undefined),
+      Fingerprint.createFingerprint(["hut GET", "", "/x", "17"], undefined),
+      Fingerprint.createFingerprint(["hut", "GET", "/x 17", ""], undefined),
+      Fingerprint.createFingerprint(["hut", "GET", "/x", undefined], undefined),
+      Fingerprint.createFingerprint(["hut", "GET", "/x", ""], undefined),
+      Fingerprint.createFingerprint(
+        ["hut", "GET", "/x", "undefined"],
+        undefined,
+      ),
+      Fingerprint.createFingerprint(["hut", "GET", "/x", "17"], body),
+      Fingerprint.createFingerprint(["hut", "GET", "/x", "17b"], undefined),
+      Fingerprint.createFingerprint(["hut", "GET", '/x","17'], undefined),
+      Fingerprint.createFingerprint([undefined, "GET", "/x", "17"], undefined),
+    ];
+    expect(new Set(fingerprints).size).toBe(fingerprints.length);
+  });
+});
+
+describe("reports of connection losses", () => {
+  const createReport = (index: number, targets: readonly string[]) => ({
+    kind: "broke" as const,
+    fingerprint: Fingerprint.createFingerprint([String(index)], undefined),
+    targets: targets.map(Reports.getReportedTarget),
+    blockMs: index % 2 === 0 ? 60_000 : 0,
+    isExplained: false,
+    isFromOutside: true,
+  });
+
+  // Guards against a bound that receivers check and senders do not keep.
+  it("are accepted by every receiver, whatever request and targets they are about", () => {
+    FastCheck.assert(
+      FastCheck.property(
+        FastCheck.array(field, { maxLength: 5 }),
+        // The store's keys, which contain the ids, have up to 200 bytes.
+        FastCheck.array(FastCheck.string({ minLength: 1, maxLength: 200 }), {
+          maxLength: 4,
+        }),
+        (fields, targets) => {
+          const report = {
+            ...createReport(0, targets),
+            fingerprint: Fingerprint.createFingerprint(fields, undefined),
+          };
+          const received = JSON.parse(JSON.stringify(report));
+          expect(Reports.tryParse(received)).toEqual(report);
+        },
+      ),
+    );
+  });
+
+  // Guards against a started instance that never learns of the blocks, because the response exceeds a line.
+  it("fit into one message, the blocked requests and then the newest first", () => {
+    const longIds = Array.from(
+      { length: 4 },
+      (_, i) => `${i}`.padEnd(128, "\u00e4"),
+    );
+    const reports = Array.from(
+      { length: 10_000 },
+      (_, index) => createReport(index, longIds),
+    );
+    const selected = Reports.selectForMessage(reports);
+    expect(Connection.formatNotification("reports", selected)).toBeDefined();
+    expect(selected.length).toBeGreaterThan(1_000);
+    const isNewestBlocked = selected.every(({ blockMs = 0 }) => blockMs > 0);
+    expect(isNewestBlocked).toBe(true);
+    expect(selected.at(-1)).toBe(reports.at(-2));
+    expect(Reports.selectForMessage(reports.slice(0, 10))).toEqual(
+      reports.slice(0, 10),
+    );
+  });
+});
--- a/tests/poison_test.ts
+++ b/tests/poison_test.ts
@@ -1,3 +1,4 @@
+import * as FastCheck from "fast-check";
 import * as Results from "ts-results-es";
 import { describe, expect, it } from "vitest";
 import type * as Contracts from "../src/contracts.ts";
@@ -185,6 +186,47 @@
   });
 });
 
+describe("poison requests beside instances of an earlier build", () => {
+  /** Earlier builds name a request by its fields; both kinds of instances forward the names of the other. */
+  const NAMES = [
+    "hut POST /order/17 17",
+    "b1ZyB0Z5Ck8mUe0mUe0mUe0mUe0mUe0mUe0mUe0mUe0",
+  ];
+
+  // Guards against an upgrade during which a crashing request is stopped by neither build.
+  it("a request crashes at most two targets of each build, in whichever order the instances get it", () => {
+    FastCheck.assert(
+      FastCheck.property(
+        FastCheck.array(FastCheck.nat({ max: 3 }), {
+          minLength: 20,
+          maxLength: 20,
+        }),
+        (order) => {
+          const { instances } = createFleet(4);
+          let crashes = 0;
+          for (const index of order) {
+            const name = NAMES[index % 2]!;
+            if (instances[index]!.isBlocked(name)) continue;
+            crashes++;
+            instances[index]!.reportConnectionLoss(name, `t${crashes}`);
+          }
+          expect(crashes).toBeLessThanOrEqual(4);
+        },
+      ),
+    );
+  });
+
+  it("an instance that starts pulls the blocks of its own build from an instance of the other", async () => {
+    const fleet = createFleet(2);
+    for (const target of ["t1", "t2"]) {
+      fleet.instances[0]!.reportConnectionLoss(NAMES[1]!, target);
+    }
+    const started = fleet.start("i2");
+    fleet.receiveHeartbeat("i2", "i1");
+    await expect.poll(() => started.isBlocked(NAMES[1]!)).toBe(true);
+  });
+});
+
 describe("retry budget", () => {
   function createBudget() {
     let now = 50_000;
