Collect bodies in blocks, so that one-byte chunks don't fill the memory

From a report of other operators: a faulty target sent bytes without end, and the process that had called it ran out of memory. Endless heads, interim responses, extensions and trailers are bounded here (tests/gateway/exchange_test.ts, green on the code before). Bodies were bounded by their bytes, but kept as a list of chunks.

On the product's path a promise for the abort kept the result of each chunk, too, and chunks that wait for a slow caller counted with their bytes only.

--- a/src/forward/body.ts
+++ b/src/forward/body.ts
@@ -1,6 +1,7 @@
 /** Request bodies: buffered up to a limit before a target is chosen, streamed beyond it. */
 import type * as Http from "node:http";
 import { Ok, type Result } from "ts-results-es";
+import * as BodyBuffer from "../body_buffer.ts";
 import * as ResultCodes from "../result_codes.ts";
 
 /** Body of a caller's request. Only a body of kind `whole` can be sent a second time. */
@@ -32,15 +33,12 @@
 }
 
 async function* streamChunks(
-  bufferedChunks: readonly Buffer[],
+  head: Buffer,
   source: AsyncIterator<Buffer>,
   maxBytes: number,
 ): AsyncGenerator<Buffer> {
-  let receivedBytes = 0;
-  for (const chunk of bufferedChunks) {
-    receivedBytes += chunk.length;
-    yield chunk;
-  }
+  let receivedBytes = head.length;
+  yield head;
   for (;;) {
     const result = await source.next();
     if (result.done === true) return;
@@ -65,46 +63,52 @@
   if (length !== undefined && length > limits.maxBytes) {
     return ResultCodes.fail("bodyTooLarge", `limit ${limits.maxBytes} bytes`);
   }
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const body = BodyBuffer.createBodyBuffer();
   const source = req[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
-  const abortWait = waitForAbort(signal);
-  while (receivedBytes <= limits.bufferBytes) {
-    const result = await Promise.race([source.next(), abortWait.promise]);
+  const reader = createAbortableReader(source, signal);
+  while (body.getBytes() <= limits.bufferBytes) {
+    const result = await reader.next();
     if (result === undefined) {
       return ResultCodes.fail("queueFull", "the body did not arrive in time");
     }
     if (result.done === true) {
-      abortWait.dispose();
-      return Ok({ kind: "whole", data: Buffer.concat(chunks) });
+      reader.dispose();
+      return Ok({ kind: "whole", data: body.take() });
     }
-    chunks.push(result.value);
-    receivedBytes += result.value.length;
-    if (receivedBytes > limits.maxBytes) {
+    body.append(result.value);
+    if (body.getBytes() > limits.maxBytes) {
       return ResultCodes.fail("bodyTooLarge", `limit ${limits.maxBytes} bytes`);
     }
   }
-  abortWait.dispose();
+  reader.dispose();
+  const head = body.take();
   return Ok({
     kind: "stream",
-    head: Buffer.concat(chunks),
-    chunks: streamChunks(chunks, source, limits.maxBytes),
+    head,
+    chunks: streamChunks(head, source, limits.maxBytes),
     length,
   });
 }
 
-function waitForAbort(signal: AbortSignal): {
-  readonly promise: Promise<undefined>;
+/** Reads chunks until `signal` aborts; then `next` resolves with undefined, also while it waits. */
+function createAbortableReader(
+  source: AsyncIterator<Buffer>,
+  signal: AbortSignal,
+): {
+  next(): Promise<IteratorResult<Buffer, undefined> | undefined>;
   dispose(): void;
 } {
-  let listener = () => {};
-  const promise = new Promise<undefined>((resolve) => {
-    listener = () => resolve(undefined);
-    if (signal.aborted) resolve(undefined);
-    else signal.addEventListener("abort", listener, { once: true });
-  });
+  let abortWait = () => {};
+  const listener = () => abortWait();
+  signal.addEventListener("abort", listener, { once: true });
   return {
-    promise,
+    // A race against one promise for the signal would keep each chunk's result until the end.
+    next: () =>
+      new Promise((resolve, reject) => {
+        abortWait = () => resolve(undefined);
+        if (signal.aborted) return resolve(undefined);
+        source.next().then(resolve, reject);
+      }),
     dispose: () => signal.removeEventListener("abort", listener),
   };
 }
--- a/src/forward/dispatch.ts
+++ b/src/forward/dispatch.ts
@@ -1,5 +1,6 @@
 /** Runs one exchange: sends the request, then buffers a short response or forwards a long one. */
 import type * as Undici from "undici";
+import * as BodyBuffer from "../body_buffer.ts";
 import * as Debug from "../debug.ts";
 import type * as Body from "./body.ts";
 import type * as Exchange from "./exchange.ts";
@@ -9,6 +10,8 @@
 const STATUS_REQUEST_TIMEOUT = 408;
 /** Limits the response bytes that wait for the sink while the target can't be paused. */
 const MAX_PENDING_BYTES = 8 * 1024 * 1024;
+/** Memory of a chunk that waits for the sink, in addition to its bytes. */
+const PENDING_CHUNK_BYTES = 512;
 
 /** Inputs of one exchange, and the callback that receives its result. */
 export interface DispatchOptions {
@@ -75,8 +78,7 @@
   let isBodyAborted = false;
   let status = 0;
   let rawHeaders: Headers.HeaderPairs = [];
-  let chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const bufferedBody = BodyBuffer.createBodyBuffer();
   let pendingWrites = Promise.resolve();
   let canPauseSender = false;
   let pendingBytes = 0;
@@ -105,34 +107,29 @@
   async function startResponse(): Promise<void> {
     isResponseStarted = true;
     sink.start(status, Headers.filterResponseHeaders(rawHeaders));
-    const bufferedChunks = chunks;
-    chunks = [];
-    for (const chunk of bufferedChunks) await sink.write(chunk);
+    await sink.write(bufferedBody.take());
   }
 
   async function forwardChunk(chunk: Buffer): Promise<void> {
     await opts.throttle?.(chunk.length);
-    receivedBytes += chunk.length;
     if (isResponseStarted) return await sink.write(chunk);
-    chunks.push(chunk);
-    if (receivedBytes > opts.bufferBytes) await startResponse();
+    bufferedBody.append(chunk);
+    if (bufferedBody.getBytes() > opts.bufferBytes) await startResponse();
   }
 
   /** Buffers a chunk of a short response; returns false when the chunk must be throttled or forwarded. */
   function tryBufferChunk(chunk: Buffer): boolean {
     const isBuffering = opts.throttle === undefined && !isResponseStarted;
-    if (!isBuffering || receivedBytes + chunk.length > opts.bufferBytes) {
-      return false;
-    }
-    receivedBytes += chunk.length;
-    chunks.push(Buffer.from(chunk));
+    const bytes = bufferedBody.getBytes() + chunk.length;
+    if (!isBuffering || bytes > opts.bufferBytes) return false;
+    bufferedBody.append(chunk);
     return true;
   }
 
   function finish(): void {
     if (isResponseStarted) return settle({ kind: "streamed", status });
     const headers = Headers.filterResponseHeaders(rawHeaders);
-    const body = Buffer.concat(chunks);
+    const body = bufferedBody.take();
     settle({
       kind: "response",
       response: { status, headers, body },
@@ -175,7 +172,8 @@
         if (chunk.length === 0) return;
         opts.onBodyBytes(chunk.length);
         if (tryBufferChunk(chunk)) return;
-        pendingBytes += chunk.length;
+        const chunkBytes = chunk.length + PENDING_CHUNK_BYTES;
+        pendingBytes += chunkBytes;
         if (canPauseSender) controller.pause();
         else if (pendingBytes > MAX_PENDING_BYTES) {
           return controller.abort(new Error("the response exceeds its buffer"));
@@ -184,7 +182,7 @@
         const copy = Buffer.from(chunk);
         pendingWrites = pendingWrites.then(() => forwardChunk(copy)).then(
           () => {
-            pendingBytes -= copy.length;
+            pendingBytes -= chunkBytes;
             if (canPauseSender) controller.resume();
           },
           (err) =>
--- a/src/gateway/body.ts
+++ b/src/gateway/body.ts
@@ -1,5 +1,6 @@
 /** Reads the body of a caller's request up to the configured size limit. */
 import type * as Http from "node:http";
+import * as BodyBuffer from "../body_buffer.ts";
 
 /** Outcome of reading a body; `data` is undefined if the request has none. */
 export type BodyResult =
@@ -21,16 +22,13 @@
     return Promise.resolve({ kind: "complete", data: undefined });
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
+    const body = BodyBuffer.createBodyBuffer();
     req.on("data", (chunk: Buffer) => {
-      receivedBytes += chunk.length;
-      if (receivedBytes > maxBytes) return resolve({ kind: "too-large" });
-      chunks.push(chunk);
-    });
-    req.once("end", () => {
-      resolve({ kind: "complete", data: Buffer.concat(chunks, receivedBytes) });
+      const isTooLarge = body.getBytes() + chunk.length > maxBytes;
+      if (isTooLarge) return resolve({ kind: "too-large" });
+      body.append(chunk);
     });
+    req.once("end", () => resolve({ kind: "complete", data: body.take() }));
     req.once("close", () => resolve({ kind: "disconnected" }));
   });
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,6 +3,7 @@
  * is complete, so that a truncated one never looks complete to the caller.
  */
 import type * as Undici from "undici";
+import * as BodyBuffer from "../body_buffer.ts";
 import type * as Cancellation from "./cancellation.ts";
 import * as Connections from "./connections.ts";
 import type * as ResponseBuffer from "./response_buffer.ts";
@@ -79,7 +80,7 @@
   return new Promise((resolve) => {
     let status = 0;
     let headers: GatewayTypes.HeaderPairs = [];
-    const chunks: Buffer[] = [];
+    let body = BodyBuffer.createBodyBuffer();
     let isSettled = false;
     let abort: (err?: Error) => void = () => {};
     const buffered = buffer.open((reason) => abort(new Error(reason)));
@@ -119,8 +120,7 @@
       onData(chunk) {
         conn.overhead.addBody(chunk.length);
         buffered.add(chunk.length);
-        // The parser reuses the memory of the chunk, so it is copied.
-        if (!isSettled) chunks.push(Buffer.from(chunk));
+        if (!isSettled) body.append(chunk);
         return true;
       },
       onComplete() {
@@ -135,17 +135,14 @@
           const reason = "reset before the answer was whole";
           return settle({ kind: "broke", reason, isConnectionLost: true });
         }
-        const [firstChunk] = chunks;
-        const body = chunks.length === 1 && firstChunk !== undefined
-          ? firstChunk
-          : Buffer.concat(chunks);
-        settle({ kind: "response", response: { status, headers, body } });
+        const response = { status, headers, body: body.take() };
+        settle({ kind: "response", response });
       },
       onError(err) {
         const code = (err as NodeJS.ErrnoException).code ?? err.message;
         const isConnectionLost = code === "ECONNRESET" || code === "EPIPE" ||
           code === "UND_ERR_SOCKET";
-        chunks.length = 0;
+        body = BodyBuffer.createBodyBuffer();
         settle({ kind: "broke", reason: code, isConnectionLost });
       },
     });
--- a/tests/gateway/exchange_test.ts
+++ b/tests/gateway/exchange_test.ts
@@ -1,10 +1,11 @@
 import * as Net from "node:net";
-import { afterEach, describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it, vi } from "vitest";
 import * as Clock from "../../src/clock.ts";
 import * as Cancellation from "../../src/gateway/cancellation.ts";
 import * as Connections from "../../src/gateway/connections.ts";
 import * as Exchange from "../../src/gateway/exchange.ts";
 import * as ResponseBuffer from "../../src/gateway/response_buffer.ts";
+import * as Heap from "../support/heap.ts";
 
 /** Starts a target that runs the next script for each chunk of data that it receives. */
 async function startTarget(
@@ -213,6 +214,28 @@
       .toBe(40_000);
   });
 
+  // Guards against a target of one-byte chunks, for whose body a process keeps over a hundred times its size.
+  it("keeps little more than the body while it receives one-byte chunks", async () => {
+    const chunks = "1\r\nx\r\n".repeat(300_000);
+    let endBody = () => {};
+    const { conn } = await open([(socket) => {
+      socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+      socket.write(chunks);
+      endBody = () => void socket.write("0\r\n\r\n");
+    }]);
+    const before = Heap.getUsedBytes();
+    const pending = send(conn);
+    await vi.waitFor(
+      () => expect(buffer.getBytes()).toBe(300_000),
+      { timeout: 2_000 },
+    );
+    expect(Heap.getUsedBytes() - before).toBeLessThan(8_000_000);
+    endBody();
+    const result = await pending;
+    expect(result.kind === "response" && result.response.body.length)
+      .toBe(300_000);
+  });
+
   // Guards against work that continues at a target after the caller has disconnected.
   it("ends immediately when it is cancelled", async () => {
     const { conn } = await open([]);
