--- a/src/platform/exchange.ts
+++ b/src/platform/exchange.ts
@@ -1,5 +1,6 @@
 /** HTTP exchanges with the platform, and whether a failed call may have taken effect. */
 import { Pool } from "undici";
+import * as BodyBuffer from "../body_buffer.ts";
 import type * as Clock from "../clock.ts";
 import * as Json from "../json.ts";
 import type * as Types from "../types.ts";
@@ -66,15 +67,15 @@
   return pairs.length === 0 ? path : `${path}?${params}`;
 }
 
-async function readBody(body: AsyncIterable<Buffer>): Promise<string> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of body) {
-    length += chunk.length;
-    if (length > MAX_RESPONSE_BYTES) throw new Error("answer too long");
-    chunks.push(chunk);
+async function readBody(chunks: AsyncIterable<Buffer>): Promise<string> {
+  const body = BodyBuffer.createBodyBuffer();
+  for await (const chunk of chunks) {
+    body.append(chunk);
+    if (body.getBytes() > MAX_RESPONSE_BYTES) {
+      throw new Error("response too long");
+    }
   }
-  return Buffer.concat(chunks).toString("utf8");
+  return body.take().toString("utf8");
 }
 
 /** Creates a connection pool. Each pending watch occupies one connection. */
