Count responses as memory until their callers have taken them

Change: what the connection doesn't take at once counts until the response is closed. If the memory is needed, the longest response is aborted as before, now also one that waits for its caller, whose connection closes; a length is always stated, so that it can't pass as complete. The log line response-not-taken and the gauge responseBytes show it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -49,7 +49,7 @@
 /** Part of the grace period that is reserved for closing connections and listeners. */
 const STOP_MARGIN_MS = 700;
 const STOP_POLL_MS = 20;
-/** Share of the machine's memory that responses may use until they are complete. */
+/** Share of the machine's memory that responses may use until their callers have taken them. */
 const RESPONSE_MEMORY_SHARE = 0.2;
 /** Interval of the usage log line; short enough to show changes within minutes, at negligible cost. */
 const USAGE_INTERVAL_MS = 10_000;
@@ -232,6 +232,7 @@
       route: control.reportRoute,
       log,
     }),
+    responseBuffer,
     metrics,
     log: requestLog,
     clock,
@@ -245,7 +246,11 @@
   /** Logs the load that this instance puts on the store, its peers and targets, in addition to requests. */
   function logUsage(): void {
     const { opened } = connections.getCounts();
-    const usage = { ...control.getUsage(), targetConnections: opened };
+    const usage = {
+      ...control.getUsage(),
+      targetConnections: opened,
+      responseBytes: responseBuffer.getBytes(),
+    };
     for (const [name, value] of Object.entries(usage)) {
       metrics.gauge(name, value);
     }
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -11,6 +11,7 @@
 import type * as Placement from "./placement.ts";
 import type * as Relay from "./relay.ts";
 import type * as RequestLog from "./request_log.ts";
+import type * as ResponseBuffer from "./response_buffer.ts";
 import type * as Split from "./split.ts";
 import type * as StateModule from "./state.ts";
 import type * as TargetLimits from "./target_limits.ts";
@@ -42,6 +43,7 @@
   readonly splits: Split.Splits;
   readonly retryBudget: ProductContracts.RetryBudget;
   readonly poison: ProductContracts.Poison;
+  readonly responseBuffer: ResponseBuffer.ResponseBuffer;
   readonly metrics: ProductContracts.Metrics;
   readonly log: RequestLog.RequestLog;
   readonly clock: Clock.Clock;
--- a/src/gateway/responder.ts
+++ b/src/gateway/responder.ts
@@ -48,7 +48,7 @@
 export function createResponder(
   deps: Pick<
     PendingRequest.ForwarderDeps,
-    "clock" | "dialect" | "log" | "metrics"
+    "clock" | "dialect" | "log" | "metrics" | "responseBuffer"
   >,
 ): Responder {
   const { clock } = deps;
@@ -82,6 +82,20 @@
     headers.push("content-length", String(response.body.length));
     res.writeHead(response.status, headers);
     res.end(response.body);
+    holdUntilTaken(res, response.body.length);
+  }
+
+  /** Counts the response until its caller has taken it; the caller loses it if the memory is needed. */
+  function holdUntilTaken(res: Http.ServerResponse, bytes: number): void {
+    // Most responses fit into the buffer of the connection.
+    if (res.writableLength === 0) return;
+    const held = deps.responseBuffer.open((reason) => {
+      deps.log.write("response-not-taken", { bytes, reason });
+      deps.metrics.count("responses.not-taken");
+      res.destroy();
+    });
+    res.once("close", held.close);
+    held.add(bytes);
   }
 
   function sendResponse(
--- a/src/gateway/response_buffer.ts
+++ b/src/gateway/response_buffer.ts
@@ -1,7 +1,8 @@
 /**
- * Bounds the memory of responses that are buffered until they are complete. Load
- * pattern: several targets send bytes without end, at the speed of their links,
- * while other targets respond as usual.
+ * Bounds the memory of responses that are buffered until they are complete, and then
+ * until their callers have taken them. Load pattern: several targets send bytes
+ * without end, at the speed of their links, or callers don't read what they asked
+ * for, while others respond and read as usual.
  *
  * When the responses together exceed the limit, the longest one is aborted, so an
  * endless response never displaces ordinary ones.
@@ -10,7 +11,7 @@
 /** Longest single response, bytes. */
 export const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 
-/** A response that is being received. */
+/** A response that is being received, or sent to its caller. */
 export interface BufferedResponse {
   /** Records that `bytes` more were buffered; may abort this or another response. */
   add(bytes: number): void;
@@ -18,7 +19,7 @@
   close(): void;
 }
 
-/** All responses that are being received. */
+/** All responses that are being received, or sent to their callers. */
 export interface ResponseBuffer {
   /** Begins a response; `abort` is called when it has to give up its memory. */
   open(abort: (reason: string) => void): BufferedResponse;
--- a/testing/kv/kv_target.ts
+++ b/testing/kv/kv_target.ts
@@ -30,6 +30,8 @@
   setBehaviour(behaviour: Behaviour): void;
   /** Sets how long each request runs before it is served. */
   setServiceMs(ms: number): void;
+  /** Sets the length of the bodies of its responses; they are short by default. */
+  setBodyBytes(bytes: number): void;
   /** Sets the requests per second that the target names in its responses; undefined for none. */
   setRateLimit(perS: number | undefined): void;
   /** Sets headers that it adds to all its responses, for example what it says of itself. */
@@ -51,6 +53,7 @@
   let rateLimitPerS: number | undefined;
   let behaviour: Behaviour = "serve";
   let serviceMs = 0;
+  let longBody: Buffer | undefined;
   let statedHeaders: Http.OutgoingHttpHeaders = {};
   let cancelled = 0;
   const server = Http.createServer({ keepAliveTimeout: 10_000 }, (req, res) => {
@@ -88,7 +91,8 @@
           ran.push(requestId);
           res.setHeader("X-Server-Stamp", `stamp.${id}`);
           return void setTimeout(
-            () => res.end(`${id} ${Buffer.concat(chunks).toString()}`),
+            () =>
+              res.end(longBody ?? `${id} ${Buffer.concat(chunks).toString()}`),
             serviceMs,
           );
       }
@@ -119,6 +123,7 @@
     setBehaviour: (next) => void (behaviour = next),
     setHeaders: (headers) => void (statedHeaders = headers),
     setServiceMs: (ms) => void (serviceMs = ms),
+    setBodyBytes: (bytes) => void (longBody = Buffer.alloc(bytes, "x")),
     setRateLimit: (perS) => void (rateLimitPerS = perS),
     register,
     close() {
--- a/tests/support/gateway_rig.ts
+++ b/tests/support/gateway_rig.ts
@@ -134,6 +134,8 @@
   readonly hasLinks?: boolean;
   /** Configuration record in the store; null for none. */
   readonly config?: string | null;
+  /** Memory of each instance, bytes; 250 MB by default. */
+  readonly memoryBytes?: number;
   /** Called for each request whose headers an instance reads. */
   readonly onRead?: () => void;
 }
@@ -184,7 +186,7 @@
         domain: "north-a",
         region: "north",
         capacity: 1,
-        memoryBytes: 250_000_000,
+        memoryBytes: opts.memoryBytes ?? 250_000_000,
       },
       listen: {
         caller: address,
