--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -11,6 +11,8 @@
 
 /** Larger batches of changes log the number of new targets instead of one line per target. */
 const MAX_LOGGED_CHANGES = 40;
+/** Unreadable items that are remembered, so that each is logged once. */
+const MAX_UNREADABLE = 1_000;
 
 /** A target that is usable or leaving. */
 export interface KnownTarget {
@@ -55,6 +57,8 @@
   /** Targets whose entries went missing during the grace period. */
   const missing = new Set<Types.TargetId>();
   const evacuated = new Set<Types.Domain>();
+  /** What is wrong with each unreadable item, by key; the last found at the end. */
+  const unreadable = new Map<string, string>();
   const configListeners: ((config: GatewayTypes.RouteConfig) => void)[] = [];
   const removalListeners: ((target: KnownTarget) => void)[] = [];
   let config: GatewayTypes.RouteConfig | undefined;
@@ -127,6 +131,16 @@
     });
   }
 
+  /** Logs an item once, although its writer may renew it every second. */
+  function logUnreadable(key: string, detail: string): void {
+    const isLogged = unreadable.get(key) === detail;
+    unreadable.delete(key);
+    unreadable.set(key, detail);
+    const [oldest] = unreadable.keys();
+    if (unreadable.size > MAX_UNREADABLE) unreadable.delete(oldest!);
+    if (!isLogged) log.warn("item-unreadable", { key, detail });
+  }
+
   function apply(change: GatewayTypes.StateChange): void {
     switch (change.kind) {
       case "config":
@@ -146,11 +160,7 @@
         else removeTarget(change.id, "entry removed");
         return;
       case "unreadable":
-        log.warn("item-unreadable", {
-          key: change.key,
-          detail: change.detail,
-        });
-        return;
+        return logUnreadable(change.key, change.detail);
       default:
         return Debug.assertNever(change);
     }
