Omit odd registrations from the list of targets on the product's own path

Slots are hashed one by one when they are assigned, so a number near 2^53 would block the event loop for good (by reading: getOwnedSlots). Lists of peers were not looked at at all.

Change: registration.ts decides which registration names a usable target, for lists of the platform and of peers alike. The others are omitted, the sound ones beside them stay, and each odd one is logged once.

tests/directory_test.ts, "an odd registration": 2 red before, green now. The lists in the older tests of that file have all fields now, since a registration without an address names no target; their expectations are unchanged.

--- a/src/daemon/directory.ts
+++ b/src/daemon/directory.ts
@@ -7,8 +7,11 @@
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
 import * as Json from "../json.ts";
+import type * as Log from "../log.ts";
+import * as Responses from "../platform/responses.ts";
 import * as Rendezvous from "../rendezvous.ts";
 import type * as Supervisor from "../supervisor.ts";
+import * as Registration from "../targets/registration.ts";
 import type * as Types from "../types.ts";
 
 const POLL_INTERVAL_MS = 1_000;
@@ -36,13 +39,13 @@
   value: unknown,
 ): (PeerList & { readonly ageMs: number }) | undefined {
   if (!Json.isObject(value)) return undefined;
-  const { ageMs, instances } = value;
-  const isValid = typeof ageMs === "number" && ageMs >= 0 &&
-    ageMs <= MAX_LIST_AGE_MS &&
-    (instances === undefined || Array.isArray(instances));
-  return isValid
-    ? value as unknown as PeerList & { readonly ageMs: number }
-    : undefined;
+  const { ageMs, digest } = value;
+  const isRecent = typeof ageMs === "number" && ageMs >= 0 &&
+    ageMs <= MAX_LIST_AGE_MS;
+  if (!isRecent || typeof digest !== "string") return undefined;
+  if (value.instances === undefined) return { ageMs, digest };
+  const instances = Responses.tryParseInstances(value.instances);
+  return instances === undefined ? undefined : { ageMs, digest, instances };
 }
 
 /** Dependencies of the directory. */
@@ -53,6 +56,7 @@
   readonly targets: Contracts.Targets;
   readonly supervisor: Supervisor.Supervisor;
   readonly clock: Clock.Clock;
+  readonly log: Log.Logger;
 }
 
 /** Starts to update `targets` periodically; resolves after the first attempt. */
@@ -65,15 +69,34 @@
   let isPlatformResponding = true;
   let isPlatformReadPending = false;
 
+  /** What is wrong with each odd registration of the current list, by id. */
+  let faults: ReadonlyMap<Types.TargetId, string> = new Map();
+
+  /** Returns the registrations that name usable targets; logs each other one once. */
+  function omitOdd(
+    instances: readonly Types.PlatformInstance[],
+  ): readonly Types.PlatformInstance[] {
+    const found = new Map<Types.TargetId, string>();
+    for (const instance of instances) {
+      const fault = Registration.tryGetFault(instance);
+      if (fault === undefined) continue;
+      found.set(instance.id, fault);
+      if (faults.get(instance.id) === fault) continue;
+      opts.log.warn("registration-unreadable", { id: instance.id, fault });
+    }
+    faults = found;
+    return instances.filter(({ id }) => !found.has(id));
+  }
+
   function acceptList(
     instances: readonly Types.PlatformInstance[],
     sentAtMs: number,
   ) {
     if (sentAtMs <= listAtMs) return;
-    list = instances;
-    digest = getDigest(instances);
+    list = omitOdd(instances);
+    digest = getDigest(list);
     listAtMs = sentAtMs;
-    targets.setInstances(instances);
+    targets.setInstances(list);
   }
 
   function isPlatformReader(): boolean {
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -259,6 +259,7 @@
       targets,
       supervisor: rootSupervisor.createChild("directory"),
       clock,
+      log,
     });
     await budgets.start();
     const isReady = () => config.getTable() !== undefined && budgets.isValid();
--- a/tests/directory_test.ts
+++ b/tests/directory_test.ts
@@ -2,15 +2,29 @@
 import { describe, expect, it } from "vitest";
 import type * as Contracts from "../src/contracts.ts";
 import * as Directory from "../src/daemon/directory.ts";
+import * as Log from "../src/log.ts";
 import * as ResultCodes from "../src/result_codes.ts";
 import type * as Supervisor from "../src/supervisor.ts";
 import type * as Types from "../src/types.ts";
 import * as PeerNet from "../testing/fakes/peer_net.ts";
 
-const LIST = [{
-  id: "t1",
-  state: "live",
-}] as unknown as readonly Types.PlatformInstance[];
+function createTarget(
+  id: string,
+  fields: Partial<Types.PlatformInstance> = {},
+): Types.PlatformInstance {
+  return {
+    id,
+    service: "bookings",
+    domain: "d1",
+    region: "r1",
+    address: "127.0.0.1:8080",
+    slots: 4,
+    state: "live",
+    ...fields,
+  };
+}
+
+const LIST = [createTarget("t1")];
 
 /** Starts the directory of an instance whose platform fails, and whose only peer sends `state.response`. */
 async function startDirectory(
@@ -19,6 +33,7 @@
 ) {
   const state = { nowMs: 1_000, response: {} as unknown };
   const appliedLists: (readonly Types.PlatformInstance[])[] = [];
+  const lines: string[] = [];
   let isPlatformUp = platformList !== undefined;
   let unresponsiveReads = 0;
   let endPendingRead = () => {};
@@ -55,11 +70,13 @@
         void (refresh = fn),
     } as unknown as Supervisor.Supervisor,
     clock: { nowMs: () => state.nowMs, wallMs: () => 0 },
+    log: Log.createLogger("info", {}, (line) => void lines.push(line)),
   });
   isPlatformUp = false;
   return {
     state,
     appliedLists,
+    lines,
     refresh: () => refresh(),
     endPendingRead: () => endPendingRead(),
     countUnresponsiveReads: () => unresponsiveReads,
@@ -104,7 +121,7 @@
     const pendingRefresh = instance.refresh();
     instance.endPendingRead();
     await pendingRefresh;
-    const peerList = [{ id: "t2", state: "live" }];
+    const peerList = [createTarget("t2")];
     for (const ageMs of [300, 200, 100]) {
       instance.state.nowMs += 1_000;
       instance.state.response = {
@@ -125,3 +142,40 @@
     ).toBe(2);
   });
 });
+
+describe("an odd registration in the list of targets", () => {
+  const ODD = [
+    createTarget("odd-slots", { slots: Number.MAX_SAFE_INTEGER }),
+    createTarget("odd-port", { address: "127.0.0.1:99999" }),
+    createTarget("odd-no-port", { address: "127.0.0.1:0" }),
+    createTarget("odd-host", { address: "999.0.0.1:80" }),
+    createTarget("odd\r\nid"),
+  ];
+  const SOUND = [createTarget("t1"), createTarget("t2")];
+  const MIXED = [ODD[0]!, SOUND[0]!, ...ODD.slice(1), SOUND[1]!];
+
+  // Guards against one registration that blocks the event loop, or hides the targets beside it.
+  it("names no target, hides none, and is logged once", async () => {
+    const instance = await startDirectory(MIXED);
+    expect(instance.appliedLists).toEqual([SOUND]);
+    for (const ageMs of [200, 100]) {
+      instance.state.nowMs += 1_000;
+      instance.state.response = { ageMs, digest: "x", instances: MIXED };
+      await instance.refresh();
+    }
+    expect(instance.appliedLists).toEqual([SOUND, SOUND, SOUND]);
+    const logged = instance.lines.filter((line) =>
+      line.includes("event=registration-unreadable")
+    );
+    expect(logged).toHaveLength(ODD.length);
+  });
+
+  it("of a peer may be any value", async () => {
+    const instance = await startDirectory(undefined);
+    const deep = JSON.parse("[".repeat(500) + "]".repeat(500));
+    const instances = [null, 7, deep, { ...SOUND[0], id: deep }, SOUND[0]];
+    instance.state.response = { ageMs: 0, digest: "x", instances };
+    await instance.refresh();
+    expect(instance.appliedLists).toEqual([[SOUND[0]]]);
+  });
+});
