Omit odd records from the list of members

One with a port out of range was kept as an address that can't be dialled.

Change: capacity and address have bounds; what names no member is omitted and logged once with its key (member-unreadable).

--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -10,6 +10,7 @@
 import * as Json from "../json.ts";
 import type * as Log from "../log.ts";
 import * as Tasks from "../peer/tasks.ts";
+import * as Wire from "../peer/wire.ts";
 import type * as Supervisor from "../supervisor.ts";
 import type * as Types from "../types.ts";
 import type * as Contracts from "./contracts.ts";
@@ -32,6 +33,9 @@
 /** Instances notice a restore together; their writes are spread over this time. */
 const RESTORE_SPREAD_MS = 500;
 
+/** Cores of the largest machine; instances with the highest capacity are preferred as hubs, so that more is no member's. */
+const MAX_CAPACITY = 10_000;
+
 /** A member's record, as stored. */
 export interface MemberRecord {
   readonly peerAddress: Types.Address;
@@ -98,6 +102,26 @@
   let isSecretStored = true;
   let isLeaving = false;
   const restores = Tasks.createNotifier();
+  /** Keys of the records in the last listing that name no member. */
+  let unreadableKeys: ReadonlySet<string> = new Set();
+
+  /** Reads the records of a listing; logs each one that names no member once. */
+  function readMembers(
+    items: readonly GatewayTypes.StoreItem[],
+  ): readonly ListedMember[] {
+    const records = items.filter(({ key }) => key.startsWith(MEMBER_PREFIX));
+    const unreadable = new Set<string>();
+    const members = records.flatMap((record) => {
+      const member = tryReadMember(record);
+      if (member === undefined) unreadable.add(record.key);
+      return member ?? [];
+    });
+    for (const key of unreadable) {
+      if (!unreadableKeys.has(key)) log.warn("member-unreadable", { key });
+    }
+    unreadableKeys = unreadable;
+    return members;
+  }
 
   async function grantLease(): Promise<void> {
     const lease = await store.grantLease(Math.max(LEASE_MS, opts.minLeaseMs));
@@ -206,20 +230,18 @@
   };
 }
 
-function readMembers(
-  items: readonly GatewayTypes.StoreItem[],
-): readonly ListedMember[] {
-  return items.map(tryReadMember).filter((member) => member !== undefined);
-}
-
 function tryReadMember(
   { key, value }: GatewayTypes.StoreItem,
 ): ListedMember | undefined {
-  if (!key.startsWith(MEMBER_PREFIX) || value === undefined) return undefined;
-  const { capacity = 0, domain, peerAddress } = Json.tryParseObject(value) ??
-    {};
-  const isValid = typeof peerAddress === "string" &&
-    typeof domain === "string" && typeof capacity === "number";
-  if (!isValid) return undefined;
-  return { id: key.slice(MEMBER_PREFIX.length), peerAddress, domain, capacity };
+  const id = key.slice(MEMBER_PREFIX.length);
+  const { capacity = 0, domain, peerAddress } =
+    Json.tryParseObject(value ?? "") ?? {};
+  if (typeof domain !== "string" || typeof peerAddress !== "string") {
+    return undefined;
+  }
+  const isCapacity = typeof capacity === "number" && capacity >= 0 &&
+    capacity <= MAX_CAPACITY;
+  const port = Wire.tryParseAddress(peerAddress)?.port ?? 0;
+  if (!isCapacity || port === 0) return undefined;
+  return { id, peerAddress, domain, capacity };
 }
