Report no connection loss that the target survives

What callers saw: while targets lose answers by resets and callers repeat their requests, requests that no target crashed with were rejected at all instances for five minutes.

Cause: any connection that a target closes counted as a crash. Change: a process that ends closes all its connections. If others to the target that were open at the loss still are after 100 ms, the loss is not reported; if there is no other, it is reported at once, as before.

The product's own path has one exchange a connection and reports all losses, as before.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -36,6 +36,12 @@
   readonly cancellation: Cancellation.Cancellation;
 }
 
+/** A connection that the target closed or reset during an exchange. */
+export interface ConnectionLoss {
+  /** True while another connection to the target that was open at the loss still is; a process that ends closes all. */
+  readonly hasOtherOpen: () => boolean;
+}
+
 /** Outcome of an attempt. */
 export type AttemptResult =
   | {
@@ -52,11 +58,12 @@
   }
   /** The connection failed before a byte of the request was sent. */
   | { readonly kind: "unreachable"; readonly reason: string }
-  /** The exchange failed and the request may have run. `isConnectionLost`: the target closed or reset the connection. */
+  /** The exchange failed and the request may have run. */
   | {
     readonly kind: "broke";
     readonly reason: string;
-    readonly isConnectionLost: boolean;
+    /** The loss, if the target closed or reset the connection. */
+    readonly connectionLoss: ConnectionLoss | undefined;
   }
   /** The request was cancelled. `isSent`: a target may have received it. */
   | { readonly kind: "aborted"; readonly isSent: boolean };
@@ -143,11 +150,16 @@
             return { kind: "aborted", isSent: true };
           }
           const reason = "all targets are lost";
-          return { kind: "broke", reason, isConnectionLost: false };
+          return { kind: "broke", reason, connectionLoss: undefined };
         }
-        case "broke":
+        case "broke": {
           connections.destroy(conn);
-          return result;
+          const { isConnectionLost, reason } = result;
+          const connectionLoss = isConnectionLost
+            ? { hasOtherOpen: connections.observe(args.address) }
+            : undefined;
+          return { kind: "broke", reason, connectionLoss };
+        }
         case "response": {
           reach.recordResponse();
           const { response } = result;
@@ -159,7 +171,7 @@
             connections.destroy(conn);
             connections.suspendReuse(args.address);
             const reason = "the answer belongs to no request";
-            return { kind: "broke", reason, isConnectionLost: false };
+            return { kind: "broke", reason, connectionLoss: undefined };
           }
           if (fields.isClosing) connections.destroy(conn);
           else connections.release(conn);
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -62,6 +62,8 @@
   release(conn: TargetConnection): void;
   /** Closes the connection immediately. */
   destroy(conn: TargetConnection): void;
+  /** Returns a check whether any of the connections to the address that are open now is still open. */
+  observe(address: Types.Address): () => boolean;
   /** Closes idle connections of a target that sent bytes that belong to no request, and suspends their reuse. */
   suspendReuse(address: Types.Address): void;
   /** Closes the idle connections of an address whose target was removed. */
@@ -79,6 +81,10 @@
   return "reason" in result;
 }
 
+function isOpen({ socket }: TargetConnection): boolean {
+  return !socket.destroyed && !socket.readableEnded;
+}
+
 /** Creates an empty pool. `localAddress` is the source IP of new connections. */
 export function createConnections(opts: {
   readonly clock: Clock.Clock;
@@ -233,6 +239,12 @@
       else idle.push(conn);
     },
     destroy,
+    observe(address) {
+      const observed = [...openConnections].filter((conn) =>
+        conn.address === address && isOpen(conn)
+      );
+      return () => observed.some(isOpen);
+    },
     suspendReuse(address) {
       reuseSuspendedUntilMs.set(address, clock.nowMs() + REUSE_SUSPENSION_MS);
       for (const conn of [...(idleByAddress.get(address) ?? [])]) destroy(conn);
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -2,6 +2,8 @@
  * Lists the candidate targets of a pending request, sends the request to one of
  * them, and records the outcome for the target.
  */
+import * as Clock from "../clock.ts";
+import type * as Types from "../types.ts";
 import type * as Attempt from "./attempt.ts";
 import * as EligibleTargets from "./eligible_targets.ts";
 import * as Choice from "./choice.ts";
@@ -14,6 +16,14 @@
  */
 const DEADLINE_MARGIN_MS = 20;
 
+/**
+ * Time in which the ends of all connections of a process arrive after that of the
+ * first, ms: more than the latency between regions. A request that crashed its target
+ * is blocked this much later.
+ */
+const CLOSE_WAIT_MS = 100;
+const CLOSE_POLL_MS = 20;
+
 /** Sends requests to their candidates. */
 export interface Sender {
   /** Candidates of the request that were not tried yet, ordered by rank. */
@@ -154,6 +164,21 @@
     deps.targetLimits.recordResponse(id, rateLimitPerS);
   }
 
+  /** Reports the loss of a connection, unless the target's other connections show that its process goes on. */
+  async function reportLoss(
+    fingerprint: string,
+    target: Types.TargetId,
+    sentAtMs: number,
+    { hasOtherOpen }: Attempt.ConnectionLoss,
+  ): Promise<void> {
+    const untilMs = clock.nowMs() + CLOSE_WAIT_MS;
+    while (hasOtherOpen() && clock.nowMs() < untilMs) {
+      await Clock.sleep(CLOSE_POLL_MS);
+    }
+    if (hasOtherOpen()) return deps.metrics.count("connection-losses-survived");
+    deps.poison.reportConnectionLoss(fingerprint, target, sentAtMs);
+  }
+
   function recordResult(
     pending: PendingRequest.PendingRequest,
     candidate: Choice.Candidate,
@@ -203,8 +228,13 @@
       case "broke":
         pending.mayHaveRun = true;
         deps.loads.end(id, "broke");
-        if (result.isConnectionLost) {
-          deps.poison.reportConnectionLoss(pending.fingerprint, id, sentAtMs);
+        if (result.connectionLoss !== undefined) {
+          void reportLoss(
+            pending.fingerprint,
+            id,
+            sentAtMs,
+            result.connectionLoss,
+          );
         }
         return;
       case "aborted": {
--- a/src/retry/poison.ts
+++ b/src/retry/poison.ts
@@ -13,6 +13,9 @@
  * a request to which no target responds, or that is sent again after its first
  * connection loss, reaches at most two targets.
  *
+ * Callers report losses that the target did not survive, as far as they can tell: a
+ * process that ends closes all its connections (`src/gateway/sender.ts`).
+ *
  * Limitations: a partitioned instance receives the reports of other instances
  * only when it pulls them from a peer; a poison request whose body changes each
  * time has a new fingerprint each time; a request that becomes harmful after a
--- a/testing/kv/kv_target.ts
+++ b/testing/kv/kv_target.ts
@@ -10,6 +10,8 @@
   | "shed"
   /** Runs it and resets the connection. */
   | "reset"
+  /** Runs it and resets all connections, like a process that ends. */
+  | "crash"
   /** Runs it and never answers. */
   | "hang"
   /** Another target has the address. */
@@ -84,6 +86,10 @@
         case "reset":
           ran.push(requestId);
           return void req.socket.resetAndDestroy();
+        case "crash":
+          ran.push(requestId);
+          for (const socket of sockets) socket.resetAndDestroy();
+          return;
         case "hang":
           ran.push(requestId);
           return;
@@ -98,6 +104,11 @@
       }
     });
   });
+  const sockets = new Set<Net.Socket>();
+  server.on("connection", (socket) => {
+    sockets.add(socket);
+    socket.once("close", () => sockets.delete(socket));
+  });
   await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
   const { port } = server.address() as Net.AddressInfo;
   const entry = {
