--- a/tests/gateway/odd_entries_test.ts
+++ b/tests/gateway/odd_entries_test.ts
@@ -67,6 +67,28 @@
     expect(Records.decodeItem(item)).toMatchObject({ kind: "unreadable" });
   });
 
+  // Guards against orders that a program runs which is no target, because an entry has the fields that are used.
+  it.each([
+    "service",
+    "address",
+    "zone",
+    "version",
+    "state",
+    "capacity",
+    "coldLeftMs",
+    "callSeq",
+  ])("names no target without the field %s", (field) => {
+    const value = JSON.stringify({ ...sound, [field]: undefined });
+    const item = { key: "servers/i-odd", revision: 1, value };
+    expect(Records.decodeItem(item)).toMatchObject({ kind: "unreadable" });
+  });
+
+  it("names a target without the time of its start", () => {
+    const value = JSON.stringify({ ...sound, born: undefined });
+    const item = { key: "servers/i-1", revision: 1, value };
+    expect(Records.decodeItem(item)).toMatchObject({ kind: "target" });
+  });
+
   it.each(["i-\r\nx-a: 1", "i-\u0000", "i-\u00e4", "", "i odd"])(
     "names no target with the id %j, which no header can carry",
     (id) => {
--- a/tests/platform/adapter_test.ts
+++ b/tests/platform/adapter_test.ts
@@ -106,9 +106,11 @@
       service: "orders",
       address: "10.1.1.1:80",
       zone: "north-a",
+      version: "v1",
       capacity: 9,
       state: "draining",
       coldLeftMs: 500,
+      callSeq: 4,
       born: 12,
     };
     expect(decode("servers/i-1", entry)).toMatchObject({
@@ -124,30 +126,24 @@
     });
   });
 
+  const sound = {
+    service: "orders",
+    address: "1.1.1.1:1",
+    zone: "a",
+    version: "v1",
+    capacity: 9,
+    state: "ready",
+    coldLeftMs: 0,
+    callSeq: 1,
+  };
+
   // Guards against a malformed entry of one writer that makes valid entries unusable.
   it.each([
     ["no JSON", "x{"],
-    ["no state", { service: "orders", address: "1.1.1.1:1", capacity: 9 }],
-    ["an unknown state", {
-      service: "orders",
-      address: "1.1.1.1:1",
-      zone: "a",
-      capacity: 9,
-      state: "odd",
-    }],
-    ["no address", {
-      service: "orders",
-      zone: "a",
-      capacity: 9,
-      state: "ready",
-    }],
-    ["a capacity of another type", {
-      service: "orders",
-      address: "1.1.1.1:1",
-      zone: "a",
-      capacity: "9",
-      state: "ready",
-    }],
+    ["no state", { ...sound, state: undefined }],
+    ["an unknown state", { ...sound, state: "odd" }],
+    ["no address", { ...sound, address: undefined }],
+    ["a capacity of another type", { ...sound, capacity: "9" }],
   ])(
     "reports what is wrong with an entry that has %s",
     (_name, value) => {
