Bound the memory of request bodies that are received together

Cause: each body had a limit, all together had none, and each was copied as a whole. Change: bodies share three tenths of the machine's memory. The declared length counts at once, so that what doesn't fit is rejected before it arrives, 503 memory-full, not run, with Retry-After; the memory is given back when the request has ended. A body with a length is received into one block. The module that bounded responses now serves both (memory_budget.ts); of equal holdings it gives up the newest, and none that is kept. The gauge bodyBytes shows the sum. intake.ts reads the body in one function and serves the request in another.

The unit test of the longest response is unchanged but for names; the one of the size limit gives the limit as an argument.

--- a/src/body_buffer.ts
+++ b/src/body_buffer.ts
@@ -17,8 +17,8 @@
   take(): Buffer;
 }
 
-/** Creates an empty buffer. */
-export function createBodyBuffer(): BodyBuffer {
+/** Creates an empty buffer. A body of `expectedBytes` is never copied as a whole. */
+export function createBodyBuffer(expectedBytes = 0): BodyBuffer {
   const blocks: Buffer[] = [];
   /** The last block; the first `usedBytes` bytes hold a part of the body. */
   let lastBlock: Buffer | undefined;
@@ -45,10 +45,8 @@
       const rest = fillLastBlock(chunk);
       if (rest.length === 0) return;
       // Most bodies arrive in one chunk and need no room for another.
-      const isFirst = lastBlock === undefined;
-      const block = Buffer.allocUnsafeSlow(
-        isFirst ? rest.length : Math.max(BLOCK_BYTES, rest.length),
-      );
+      const minBytes = lastBlock === undefined ? expectedBytes : BLOCK_BYTES;
+      const block = Buffer.allocUnsafeSlow(Math.max(minBytes, rest.length));
       addBlock(block, rest.copy(block));
     },
     getBytes: () => totalBytes,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,7 +3,7 @@
 import * as Cancellation from "./cancellation.ts";
 import * as Connections from "./connections.ts";
 import * as Exchange from "./exchange.ts";
-import type * as ResponseBuffer from "./response_buffer.ts";
+import type * as MemoryBudget from "./memory_budget.ts";
 import type * as TargetReach from "./target_reach.ts";
 import type * as Types from "../types.ts";
 import type * as GatewayTypes from "./types.ts";
@@ -78,7 +78,7 @@
 export function createAttempts(opts: {
   readonly connections: Connections.Connections;
   readonly dialect: GatewayTypes.HeaderDialect;
-  readonly responseBuffer: ResponseBuffer.ResponseBuffer;
+  readonly responseMemory: MemoryBudget.MemoryBudget;
   readonly reach: Pick<
     TargetReach.TargetReach,
     "getLoss" | "recordOpen" | "recordResponse" | "recordSend"
@@ -141,7 +141,7 @@
         conn,
         args.request,
         getCancellation(args),
-        opts.responseBuffer,
+        opts.responseMemory,
       );
       switch (result.kind) {
         case "aborted": {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -6,7 +6,7 @@
 import * as BodyBuffer from "../body_buffer.ts";
 import type * as Cancellation from "./cancellation.ts";
 import * as Connections from "./connections.ts";
-import type * as ResponseBuffer from "./response_buffer.ts";
+import type * as MemoryBudget from "./memory_budget.ts";
 import type * as GatewayTypes from "./types.ts";
 
 /** Status that a server sends when it closes a connection on which no request arrived before a timeout. */
@@ -72,7 +72,7 @@
   conn: Connections.TargetConnection,
   req: TargetRequest,
   cancellation: Cancellation.Cancellation,
-  buffer: ResponseBuffer.ResponseBuffer,
+  buffer: MemoryBudget.MemoryBudget,
 ): Promise<ExchangeResult> {
   conn.exchangeCount++;
   conn.isBusy = true;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,7 +22,7 @@
 import * as Relay from "./relay.ts";
 import * as RequestLog from "./request_log.ts";
 import * as Responder from "./responder.ts";
-import * as ResponseBuffer from "./response_buffer.ts";
+import * as MemoryBudget from "./memory_budget.ts";
 import * as Servers from "./servers.ts";
 import type * as Settings from "./settings.ts";
 import * as Split from "./split.ts";
@@ -51,6 +51,10 @@
 const STOP_POLL_MS = 20;
 /** Share of the machine's memory that responses may use until their callers have taken them. */
 const RESPONSE_MEMORY_SHARE = 0.2;
+/** Longest single response, bytes. */
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
+/** Share of the machine's memory that request bodies may use until their requests have ended. */
+const BODY_MEMORY_SHARE = 0.3;
 /** Interval of the usage log line; short enough to show changes within minutes, at negligible cost. */
 const USAGE_INTERVAL_MS = 10_000;
 
@@ -141,8 +145,12 @@
   const statements = TargetStatements.createTargetStatements(clock, log);
   const timings = Timings.createTimings();
   const splits = Split.createSplits(instance.id);
-  const responseBuffer = ResponseBuffer.createResponseBuffer(
+  const responseMemory = MemoryBudget.createMemoryBudget(
     instance.memoryBytes * RESPONSE_MEMORY_SHARE,
+    MAX_RESPONSE_BYTES,
+  );
+  const bodyMemory = MemoryBudget.createMemoryBudget(
+    instance.memoryBytes * BODY_MEMORY_SHARE,
   );
 
   /** Opens a connection to the target and keeps it for later requests. */
@@ -188,7 +196,7 @@
     attempts: Attempt.createAttempts({
       connections,
       dialect: deps.dialect,
-      responseBuffer,
+      responseMemory,
       reach,
       clock,
       onConnect: timings.recordConnect,
@@ -198,7 +206,7 @@
       self,
       getInstances: control.getLiveInstances,
       connections,
-      responseBuffer,
+      responseMemory,
       dialect: deps.dialect,
       getRoundTripMs: timings.getRoundTripMs,
       clock,
@@ -232,7 +240,8 @@
       route: control.reportRoute,
       log,
     }),
-    responseBuffer,
+    responseMemory,
+    bodyMemory,
     metrics,
     log: requestLog,
     clock,
@@ -249,7 +258,8 @@
     const usage = {
       ...control.getUsage(),
       targetConnections: opened,
-      responseBytes: responseBuffer.getBytes(),
+      responseBytes: responseMemory.getBytes(),
+      bodyBytes: bodyMemory.getBytes(),
     };
     for (const [name, value] of Object.entries(usage)) {
       metrics.gauge(name, value);
--- a/src/gateway/intake.ts
+++ b/src/gateway/intake.ts
@@ -22,6 +22,8 @@
  * to have it, and one that just started receives it in about this time.
  */
 const CONFIG_RETRY_MS = 300;
+/** Retry advice while the memory for bodies is used up: large bodies arrive and are sent in about this time. */
+const MEMORY_RETRY_MS = 500;
 /** Retry advice of an instance that stops; other instances can take the request at once. */
 const LEAVING_RETRY_MS = 50;
 
@@ -43,6 +45,16 @@
   readonly endMs: number;
 }
 
+/** A request whose body has been read. */
+interface ReadRequest extends Responder.ReadRequest {
+  readonly req: Http.IncomingMessage;
+  readonly route: GatewayTypes.Route;
+  readonly account: GatewayTypes.AccountSpec | undefined;
+  /** Configuration under which it was admitted. */
+  readonly config: GatewayTypes.RouteConfig;
+  readonly cancellation: Cancellation.CancellationSource;
+}
+
 /** Creates the intake. */
 export function createIntake(
   deps: PendingRequest.ForwarderDeps,
@@ -118,20 +130,57 @@
     }
     const cancellation = Cancellation.createCancellation();
     CallerEnd.onCallerEnd(req, res, () => cancellation.cancel("caller-left"));
-    const bodyResult = await Body.readBody(req, config.limits.maxBodyBytes);
+    const bodyResult = await Body.readBody(
+      req,
+      config.limits.maxBodyBytes,
+      deps.bodyMemory,
+    );
     if (bodyResult.kind === "disconnected") return;
+    const read: ReadRequest = {
+      ...request,
+      req,
+      route,
+      account,
+      config,
+      cancellation,
+    };
+    if (bodyResult.kind !== "complete") {
+      return rejectBody(read, bodyResult.kind);
+    }
+    try {
+      await serve(read, bodyResult.data);
+    } finally {
+      bodyResult.release();
+    }
+  }
+
+  function rejectBody(
+    request: ReadRequest,
+    reason: "too-large" | "no-memory",
+  ): void {
+    const rejection = reason === "too-large"
+      ? Rejection.createRejection("bodyTooLarge", "not-run")
+      : Rejection.createRejection("memoryFull", "not-run", MEMORY_RETRY_MS);
+    responder.reject(request, rejection, {
+      config: request.config.version,
+      route: request.route.name,
+    });
+  }
+
+  /** Checks a request whose body is read, and passes it to the forwarder. */
+  async function serve(
+    request: ReadRequest,
+    body: Buffer | undefined,
+  ): Promise<void> {
+    const { account, callerFields, cancellation, config, req, res, route } =
+      request;
+    const { startedAtMs } = request;
+    const details = { config: config.version };
     await deps.readBarrier.wait();
     if (cancellation.isCancelled()) return responder.logDisconnect(request, 0);
-    if (bodyResult.kind === "too-large") {
-      const rejection = Rejection.createRejection("bodyTooLarge", "not-run");
-      return responder.reject(request, rejection, {
-        ...details,
-        route: route.name,
-      });
-    }
     const fingerprint = Fingerprint.createFingerprint(
       [account?.name, req.method, req.url, callerFields.affinityKey],
-      bodyResult.data,
+      body,
     );
     if (deps.poison.isBlocked(fingerprint)) {
       const rejection = {
@@ -181,7 +230,7 @@
       configVersion: config.version,
       startedAtMs,
       deadlineAtMs,
-      body: bodyResult.data,
+      body,
       service: deps.splits.chooseService(route),
       affinityKey: callerFields.affinityKey ??
         Placement.createSpreadKey(callerFields.requestId ?? ""),
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -11,7 +11,7 @@
 import type * as Placement from "./placement.ts";
 import type * as Relay from "./relay.ts";
 import type * as RequestLog from "./request_log.ts";
-import type * as ResponseBuffer from "./response_buffer.ts";
+import type * as MemoryBudget from "./memory_budget.ts";
 import type * as Split from "./split.ts";
 import type * as StateModule from "./state.ts";
 import type * as TargetLimits from "./target_limits.ts";
@@ -43,7 +43,8 @@
   readonly splits: Split.Splits;
   readonly retryBudget: ProductContracts.RetryBudget;
   readonly poison: ProductContracts.Poison;
-  readonly responseBuffer: ResponseBuffer.ResponseBuffer;
+  readonly responseMemory: MemoryBudget.MemoryBudget;
+  readonly bodyMemory: MemoryBudget.MemoryBudget;
   readonly metrics: ProductContracts.Metrics;
   readonly log: RequestLog.RequestLog;
   readonly clock: Clock.Clock;
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -16,7 +16,7 @@
 import * as Directory from "./directory.ts";
 import * as Exchange from "./exchange.ts";
 import * as Rejection from "./rejection.ts";
-import type * as ResponseBuffer from "./response_buffer.ts";
+import type * as MemoryBudget from "./memory_budget.ts";
 import type * as GatewayTypes from "./types.ts";
 
 /** Instances to which one request may be passed on. */
@@ -100,7 +100,7 @@
   /** Live instances, without this one. */
   readonly getInstances: () => readonly Directory.DirectoryInstance[];
   readonly connections: Connections.Connections;
-  readonly responseBuffer: ResponseBuffer.ResponseBuffer;
+  readonly responseMemory: MemoryBudget.MemoryBudget;
   readonly dialect: GatewayTypes.HeaderDialect;
   readonly getRoundTripMs: (region: Types.Region) => number;
   readonly clock: Clock.Clock;
@@ -186,7 +186,7 @@
         body: req.body,
       },
       req.cancellation,
-      opts.responseBuffer,
+      opts.responseMemory,
     );
     if (result.kind === "aborted") {
       connections.destroy(conn);
--- a/src/gateway/responder.ts
+++ b/src/gateway/responder.ts
@@ -48,7 +48,7 @@
 export function createResponder(
   deps: Pick<
     PendingRequest.ForwarderDeps,
-    "clock" | "dialect" | "log" | "metrics" | "responseBuffer"
+    "clock" | "dialect" | "log" | "metrics" | "responseMemory"
   >,
 ): Responder {
   const { clock } = deps;
@@ -89,7 +89,7 @@
   function holdUntilTaken(res: Http.ServerResponse, bytes: number): void {
     // Most responses fit into the buffer of the connection.
     if (res.writableLength === 0) return;
-    const held = deps.responseBuffer.open((reason) => {
+    const held = deps.responseMemory.open((reason) => {
       deps.log.write("response-not-taken", { bytes, reason });
       deps.metrics.count("responses.not-taken");
       res.destroy();
--- a/src/result_codes.ts
+++ b/src/result_codes.ts
@@ -231,6 +231,13 @@
     "The first target refused and the retry budget is used up",
     "Send again after Retry-After",
   ),
+  memoryFull: createCode(
+    135,
+    "memory-full",
+    503,
+    "This instance has no memory for the request's body now",
+    "Send again after Retry-After",
+  ),
   internal: createCode(
     199,
     "internal",
--- a/tests/gateway/attempt_test.ts
+++ b/tests/gateway/attempt_test.ts
@@ -5,7 +5,7 @@
 import * as Attempt from "../../src/gateway/attempt.ts";
 import * as Cancellation from "../../src/gateway/cancellation.ts";
 import * as Connections from "../../src/gateway/connections.ts";
-import * as ResponseBuffer from "../../src/gateway/response_buffer.ts";
+import * as MemoryBudget from "../../src/gateway/memory_budget.ts";
 
 describe("attempt at a target", () => {
   const closers: (() => void)[] = [];
@@ -40,7 +40,7 @@
     const attempts = Attempt.createAttempts({
       connections,
       dialect: Headers.headerDialect,
-      responseBuffer: ResponseBuffer.createResponseBuffer(1_000_000),
+      responseMemory: MemoryBudget.createMemoryBudget(1_000_000),
       reach: {
         getLoss: Cancellation.createCancellation,
         recordOpen: () => {},
--- a/tests/gateway/body_test.ts
+++ b/tests/gateway/body_test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, it, vi } from "vitest";
 import * as ProductBody from "../../src/forward/body.ts";
 import * as Body from "../../src/gateway/body.ts";
+import * as MemoryBudget from "../../src/gateway/memory_budget.ts";
 import * as Heap from "../support/heap.ts";
 
 const CHUNKS = 300_000;
@@ -42,7 +43,8 @@
 describe("a request body of one-byte chunks", () => {
   it("uses little more memory than its size at the gateway", async () => {
     const body = await receive(async (req) => {
-      const result = await Body.readBody(req, 1_000_000);
+      const memory = MemoryBudget.createMemoryBudget(1_000_000);
+      const result = await Body.readBody(req, 1_000_000, memory);
       return result.kind === "complete" ? result.data : undefined;
     });
     expect(body).toHaveLength(CHUNKS);
--- a/tests/gateway/response_buffer_test.ts
+++ b/tests/gateway/memory_budget_test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from "vitest";
-import * as ResponseBuffer from "../../src/gateway/response_buffer.ts";
+import * as MemoryBudget from "../../src/gateway/memory_budget.ts";
 
 describe("memory of responses that are being received", () => {
   // Load pattern: three targets send without end beside ordinary responses. Guards
   // against an ordinary response that is aborted in place of an endless one.
   it("is taken from the longest response when the limit is exceeded", () => {
-    const buffer = ResponseBuffer.createResponseBuffer(10_000);
+    const buffer = MemoryBudget.createMemoryBudget(10_000);
     const aborted: string[] = [];
     const open = (name: string) => buffer.open(() => void aborted.push(name));
     const ordinary = open("ordinary");
@@ -23,12 +23,32 @@
   });
 
   it("limits each response", () => {
-    const buffer = ResponseBuffer.createResponseBuffer(Infinity);
+    const buffer = MemoryBudget.createMemoryBudget(Infinity, 1_000);
     let reason = "";
     const response = buffer.open((text) => reason = text);
-    response.add(ResponseBuffer.MAX_RESPONSE_BYTES);
+    response.add(1_000);
     expect(reason).toBe("");
     response.add(1);
     expect(reason).toContain("size limit");
   });
+
+  // Guards against a body that is given up although its request runs, or has nearly arrived.
+  it("is taken from the newest of equal holdings, and from none that is kept", () => {
+    const budget = MemoryBudget.createMemoryBudget(10_000);
+    const aborted: string[] = [];
+    const open = (name: string) => {
+      const holding = budget.open(() => void aborted.push(name));
+      holding.add(4_000);
+      return holding;
+    };
+    const holdings = ["a", "b", "c"].map(open);
+    expect(aborted).toEqual(["c"]);
+    holdings[0]!.keep();
+    holdings[1]!.keep();
+    open("d");
+    expect(aborted).toEqual(["c", "d"]);
+    holdings[0]!.close();
+    open("e");
+    expect(aborted).toEqual(["c", "d"]);
+  });
 });
--- a/tests/gateway/relay_test.ts
+++ b/tests/gateway/relay_test.ts
@@ -7,7 +7,7 @@
 import * as Connections from "../../src/gateway/connections.ts";
 import type * as Directory from "../../src/gateway/directory.ts";
 import * as Relay from "../../src/gateway/relay.ts";
-import * as ResponseBuffer from "../../src/gateway/response_buffer.ts";
+import * as MemoryBudget from "../../src/gateway/memory_budget.ts";
 
 describe("relay of requests to other instances", () => {
   const cleanups: (() => void)[] = [];
@@ -58,7 +58,7 @@
       },
       getInstances: () => instances,
       connections,
-      responseBuffer: ResponseBuffer.createResponseBuffer(1_000_000),
+      responseMemory: MemoryBudget.createMemoryBudget(1_000_000),
       dialect: Headers.headerDialect,
       getRoundTripMs: (region) => region === "north" ? 1 : 60,
       clock,
--- a/tests/support/gateway_rig.ts
+++ b/tests/support/gateway_rig.ts
@@ -43,12 +43,19 @@
 /** Formats the operators' configuration record: an account, a route for reads and a route for orders. */
 export function formatConfig(
   version: number,
-  overrides: { readonly key?: string; readonly ratePerS?: number } = {},
+  overrides: {
+    readonly key?: string;
+    readonly ratePerS?: number;
+    readonly maxBodyBytes?: number;
+  } = {},
 ): string {
   return JSON.stringify({
     version: `r${version}`,
     services: [{ name: "orders", maxConns: 330, coldS: 3, coldPerS: 15 }],
-    limits: { maxBodyBytes: 1_000, idleTimeoutMs: 15_000 },
+    limits: {
+      maxBodyBytes: overrides.maxBodyBytes ?? 1_000,
+      idleTimeoutMs: 15_000,
+    },
     tenants: [{
       name: "hut",
       apiKeys: [overrides.key ?? "k1"],
