--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -16,9 +16,8 @@
 const DEADLINE_MARGIN_MS = 20;
 
 /**
- * Time in which the ends of all connections of a process arrive after that of the
- * first, ms: more than the latency between regions. A request that crashed its target
- * is blocked this much later.
+ * Time in which the ends of all connections of a process arrive, ms. They are sent
+ * together, so that only delayed packets take longer than the first.
  */
 const CLOSE_WAIT_MS = 100;
 const CLOSE_POLL_MS = 20;
