Order reports about poison requests, so that a block and a clear do not circulate

Cause: in a fleet that is not a full mesh, instances forward what is new to them, and a clear deleted the suspicion, so that the block that it passed was new again. Each arrival was sent to all peers.

The result does not depend on the order of arrival, and each statement is forwarded once. Messages of earlier builds have no stamps: their losses are ignored for 2 s after a clear. Counters: poison-blocked, poison-cleared, poison-reports-forwarded, poison-reports-known.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -179,7 +179,7 @@
       clock,
     }),
     ledger,
-    poison: Poison.createPoison({ clock, peers, log }),
+    poison: Poison.createPoison({ clock, peers, metrics, log }),
     retryBudget: RetryBudget.createRetryBudget({ clock }),
     responseSizes: Link.createResponseSizes(),
     peers,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -238,6 +238,7 @@
       clock,
       peers,
       route: control.reportRoute,
+      metrics,
       log,
     }),
     responseMemory,
--- a/src/retry/poison.ts
+++ b/src/retry/poison.ts
@@ -20,30 +20,34 @@
  * only when it pulls them from a peer; a poison request whose body changes each
  * time has a new fingerprint each time; a request that becomes harmful after a
  * response, while several copies are in flight, crashes the targets of all copies.
+ *
+ * Statements about a fingerprint are ordered by stamps (`poison_evidence.ts`), so
+ * that each is forwarded once; `docs/design/poison_reports.md`.
  */
 import type * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
 import * as Debug from "../debug.ts";
 import type * as Log from "../log.ts";
 import type * as Types from "../types.ts";
+import * as EvidenceModule from "./poison_evidence.ts";
 import * as Reports from "./poison_reports.ts";
 
 const BLOCK_MS = 5 * 60_000;
-/** Time after the last connection loss in which a suspicion is kept; covers callers that retry every few minutes. */
-const SUSPICION_TTL_MS = 10 * 60_000;
-const TARGETS_TO_BLOCK = 2;
 /** Time for which a response explains connection losses; an older response says little about the request now. */
 const RESPONSE_EVIDENCE_MS = 2_000;
-/** Suspicions use about 3 MB at this number. */
 const MAX_FINGERPRINTS = 10_000;
-/** Maximum number of targets kept per suspicion; more targets add no information. */
-const MAX_SUSPECTED_TARGETS = 4;
 const METHOD = "poison.report";
 const PULL_TIMEOUT_MS = 1_000;
 /** Longest wait of a failed request until other instances confirm its block: several times the round trip between regions (110 ms). */
 const CONFIRM_TIMEOUT_MS = 400;
 /** Up to this number of peers all instances are connected; in larger fleets reports are forwarded. */
 const MAX_FULL_MESH_PEERS = 23;
+/**
+ * Time after a clear in which connection losses without stamps are ignored.
+ * Earlier builds send them; within this time, several times what a message takes
+ * through the fleet, they may be older than the clear.
+ */
+const UNORDERED_HOLD_MS = 2_000;
 
 /**
  * Selects the instances that receive connection losses in a fleet that is not a
@@ -65,6 +69,8 @@
   /** For fleets that are not a full mesh; without it every report is sent to every instance. */
   readonly route?: ReportRoute;
   readonly log: Log.Logger;
+  /** Counts blocks, clears, and reports that were forwarded or already known. */
+  readonly metrics?: Pick<Contracts.Metrics, "count">;
 }
 
 /** Poison requests, with the number of suspicions for tests. */
@@ -72,88 +78,45 @@
   getSize(): number;
 }
 
-interface Suspicion {
-  readonly targets: Set<Types.TargetId>;
-  /** Monotonic ms of the first connection loss since the last response. */
-  readonly firstLossAtMs: number;
-  /** False while responses explain every connection loss. */
-  isUnexplained: boolean;
-  /** Monotonic ms of the last connection loss. */
-  lastLossAtMs: number;
-  /** Monotonic ms; `-Infinity` when never blocked. */
-  blockedUntilMs: number;
-}
-
-function createSuspicion(nowMs: number): Suspicion {
-  return {
-    targets: new Set(),
-    firstLossAtMs: nowMs,
-    isUnexplained: false,
-    lastLossAtMs: nowMs,
-    blockedUntilMs: -Infinity,
-  };
-}
-
 /** Creates an empty list. With `peers`, it shares reports and pulls those of the first peer that sends a heartbeat. */
 export function createPoison(opts: PoisonOptions): InspectablePoison {
   const { clock, peers, log } = opts;
-  /** By fingerprint, in order of the last report, oldest first. */
-  const suspicions = new Map<string, Suspicion>();
+  const evidence = EvidenceModule.createEvidence(clock);
   /** Monotonic ms of the last response at this instance by fingerprint, oldest first. */
   const lastResponses = new Map<string, number>();
   let hasPulled = false;
 
-  function evict(): void {
-    for (const [fingerprint, suspicion] of suspicions) {
-      const now = clock.nowMs();
-      const isExpired = now - suspicion.lastLossAtMs > SUSPICION_TTL_MS;
-      if (!isExpired && suspicions.size <= MAX_FINGERPRINTS) return;
-      suspicions.delete(fingerprint);
-    }
+  function count(name: string): void {
+    opts.metrics?.count(name);
   }
 
-  /** Adds connection losses to a suspicion and blocks the request when they suffice; returns false when they add no evidence. */
-  function addEvidence(
+  /** Adds connection losses and blocks the request when they suffice; returns false when they add no evidence. */
+  function addLosses(
     fingerprint: string,
-    targets: readonly Types.TargetId[],
+    losses: EvidenceModule.Losses,
     blockMs: number,
-    isExplained: boolean,
   ): boolean {
-    const now = clock.nowMs();
-    const existing = suspicions.get(fingerprint);
-    const isNew = existing === undefined ||
-      now - existing.lastLossAtMs > SUSPICION_TTL_MS;
-    const suspicion: Suspicion = isNew ? createSuspicion(now) : existing;
-    const targetsBefore = suspicion.targets.size;
-    const wasUnexplained = suspicion.isUnexplained;
-    if (!isExplained) suspicion.isUnexplained = true;
-    for (const target of targets) {
-      if (suspicion.targets.size < MAX_SUSPECTED_TARGETS) {
-        suspicion.targets.add(target);
-      }
+    const effect = evidence.addLosses(fingerprint, losses, blockMs);
+    if (effect.isNewlyBlocked) {
+      const { targets } = evidence.getSuspicion(fingerprint) ?? losses;
+      const targetIds = [...targets.keys()].join(",");
+      log.warn("poison-blocked", { fingerprint, targets: targetIds });
+      count("poison-blocked");
     }
-    suspicion.lastLossAtMs = now;
-    suspicions.delete(fingerprint);
-    suspicions.set(fingerprint, suspicion);
-    const hasNewEvidence = suspicion.targets.size > targetsBefore ||
-      suspicion.isUnexplained !== wasUnexplained;
-    evict();
-    const hasEnoughTargets = suspicion.targets.size >= TARGETS_TO_BLOCK;
-    if (!hasEnoughTargets || !suspicion.isUnexplained) return hasNewEvidence;
-    const wasBlocked = suspicion.blockedUntilMs > now;
-    suspicion.blockedUntilMs = Math.max(
-      suspicion.blockedUntilMs,
-      now + blockMs,
-    );
-    if (wasBlocked || blockMs === 0) return hasNewEvidence;
-    const targetIds = [...suspicion.targets].join(",");
-    log.warn("poison-blocked", { fingerprint, targets: targetIds });
-    return true;
+    return effect.isNew;
   }
 
-  function isBlocked(fingerprint: string): boolean {
-    const suspicion = suspicions.get(fingerprint);
-    return suspicion !== undefined && clock.nowMs() < suspicion.blockedUntilMs;
+  function addClear(
+    fingerprint: string,
+    stamp: number,
+    isFleetWide: boolean,
+  ): EvidenceModule.ClearEffect {
+    const effect = evidence.addClear(fingerprint, stamp, isFleetWide);
+    if (effect.isBlockLifted) {
+      log.info("poison-cleared", { fingerprint });
+      count("poison-cleared");
+    }
+    return effect;
   }
 
   function recordResponse(fingerprint: string): void {
@@ -170,17 +133,10 @@
   function isExplained(fingerprint: string, sentAtMs: number): boolean {
     const respondedAtMs = lastResponses.get(fingerprint) ?? -Infinity;
     if (clock.nowMs() - respondedAtMs > RESPONSE_EVIDENCE_MS) return false;
-    const suspicion = suspicions.get(fingerprint);
+    const suspicion = evidence.getSuspicion(fingerprint);
     return suspicion === undefined || sentAtMs <= suspicion.firstLossAtMs;
   }
 
-  function clearSuspicion(fingerprint: string): boolean {
-    const wasBlocked = isBlocked(fingerprint);
-    const wasSuspected = suspicions.delete(fingerprint);
-    if (wasBlocked) log.info("poison-cleared", { fingerprint });
-    return wasSuspected;
-  }
-
   function isFullMesh(): boolean {
     return (peers?.getMembers().length ?? 0) <= MAX_FULL_MESH_PEERS;
   }
@@ -213,38 +169,94 @@
     peers?.notify(ids, METHOD, remoteMessage);
   }
 
-  function hasBlockEvidence(fingerprint: string): boolean {
-    const suspicion = suspicions.get(fingerprint);
-    return suspicion !== undefined && suspicion.isUnexplained &&
-      suspicion.targets.size >= TARGETS_TO_BLOCK;
+  /** Sends what remains of a suspicion after a clear, as receivers that had part of it have dropped theirs. */
+  function repeatRemaining(
+    fingerprint: string,
+    remaining: EvidenceModule.Suspicion | undefined,
+  ): void {
+    if (remaining === undefined) return;
+    const blockMs = Math.max(0, remaining.blockedUntilMs - clock.nowMs());
+    const report = Reports.createReport(fingerprint, remaining, blockMs);
+    sendReport(report, evidence.hasBlockEvidence(fingerprint));
+  }
+
+  /** True if a message without stamp may be older than the clear that is known. */
+  function isHeld(fingerprint: string): boolean {
+    const clear = evidence.getClear(fingerprint);
+    return clear !== undefined &&
+      clock.nowMs() - clear.atMs < UNORDERED_HOLD_MS;
+  }
+
+  /**
+   * Returns the losses of a report. Those of an earlier build get the lowest stamp
+   * that is in force here, so that each clear that is still on its way applies.
+   */
+  function getLosses(
+    report: Reports.ConnectionLossReport,
+  ): EvidenceModule.Losses | undefined {
+    const losses = Reports.getStampedLosses(report);
+    if (losses !== undefined) return losses;
+    const { fingerprint, targets, isExplained } = report;
+    if (isHeld(fingerprint)) return undefined;
+    const stamp = (evidence.getClear(fingerprint)?.stamp ?? 0) + 1;
+    return {
+      targets: new Map(targets.map((target) => [target, stamp])),
+      unexplainedStamp: isExplained === true ? 0 : stamp,
+    };
   }
 
   function handleConnectionLoss(message: Reports.ConnectionLossReport): void {
-    const { fingerprint, targets, isExplained } = message;
+    const { fingerprint } = message;
     const blockMs = message.blockMs ?? BLOCK_MS;
-    const hasNewEvidence = addEvidence(
-      fingerprint,
-      targets,
-      blockMs,
-      isExplained === true,
-    );
-    if (!hasNewEvidence || isFullMesh()) return;
-    if (opts.route === undefined) return sendAll(message);
-    if (!hasBlockEvidence(fingerprint)) return sendReport(message, false);
-    const suspicion = suspicions.get(fingerprint);
-    sendAll({ ...message, targets: [...suspicion?.targets ?? targets] });
+    const losses = getLosses(message);
+    if (losses === undefined || !addLosses(fingerprint, losses, blockMs)) {
+      return count("poison-reports-known");
+    }
+    if (isFullMesh()) return;
+    count("poison-reports-forwarded");
+    const isBlock = evidence.hasBlockEvidence(fingerprint);
+    const known = isBlock ? evidence.getSuspicion(fingerprint) : undefined;
+    const report = Reports.createReport(fingerprint, known ?? losses, blockMs);
+    const isFromOutside = message.isFromOutside === true;
+    sendReport({ ...report, isFromOutside }, isBlock);
+  }
+
+  /**
+   * Returns the stamp of a clear; undefined when it is already known. Instances
+   * that know the same losses give a clear of an earlier build the same stamp.
+   */
+  function getClearStamp(message: Reports.ClearReport): number | undefined {
+    const { fingerprint, stamp } = message;
+    if (stamp !== undefined) return stamp;
+    const suspicion = evidence.getSuspicion(fingerprint);
+    if (suspicion !== undefined) return EvidenceModule.getLastStamp(suspicion);
+    if (isHeld(fingerprint)) return undefined;
+    return evidence.createClearStamp(fingerprint);
+  }
+
+  function handleClear(message: Reports.ClearReport): void {
+    const { fingerprint } = message;
+    const stamp = getClearStamp(message);
+    if (stamp === undefined) return count("poison-reports-known");
+    const isFleetWide = message.isFleetWide === true ||
+      evidence.isBlocked(fingerprint);
+    const wasSuspected = evidence.getSuspicion(fingerprint) !== undefined;
+    const { isNew, remaining } = addClear(fingerprint, stamp, isFleetWide);
+    if (!isNew) return count("poison-reports-known");
+    // A clear of an earlier build that arrives before the losses is remembered only.
+    const isForwarded = message.stamp !== undefined || wasSuspected;
+    if (isFullMesh() || !isForwarded) return;
+    count("poison-reports-forwarded");
+    sendReport({ ...message, stamp, isFleetWide }, isFleetWide);
+    repeatRemaining(fingerprint, remaining);
   }
 
   function handleMessage(message: Reports.Message): void {
     switch (message.kind) {
       case "broke":
         return handleConnectionLoss(message);
-      case "answered": {
-        const wasBlocked = isBlocked(message.fingerprint);
-        const wasSuspected = clearSuspicion(message.fingerprint);
-        if (wasSuspected && !isFullMesh()) sendReport(message, wasBlocked);
-        return;
-      }
+      case "answered":
+        return handleClear(message);
       case "pull":
         return;
       default:
@@ -252,23 +264,42 @@
     }
   }
 
-  /** Returns the blocks and suspicions that fit into one message, for a peer that has just started. */
-  function getReports(): readonly Reports.ConnectionLossReport[] {
+  /** Returns the blocks and suspicions that fit into one message, for a peer that has just started; clears take what is left. */
+  function getReports(withClears: boolean): readonly Reports.Statement[] {
     const now = clock.nowMs();
-    const reports = [...suspicions].map(([fingerprint, suspicion]) => ({
-      kind: "broke" as const,
-      fingerprint,
-      targets: [...suspicion.targets],
-      blockMs: Math.max(0, suspicion.blockedUntilMs - now),
-      isExplained: !suspicion.isUnexplained,
-    }));
-    return Reports.selectForMessage(reports);
+    const losses = [...evidence.getSuspicions()].map(
+      ([fingerprint, suspicion]) => {
+        const blockMs = Math.max(0, suspicion.blockedUntilMs - now);
+        return Reports.createReport(fingerprint, suspicion, blockMs);
+      },
+    );
+    if (!withClears) return Reports.selectForMessage(losses);
+    const clears = [...evidence.getClears()].map(
+      ([fingerprint, { stamp, isFleetWide }]) =>
+        ({ kind: "answered", fingerprint, stamp, isFleetWide }) as const,
+    );
+    return Reports.selectForMessage([...clears, ...losses]);
+  }
+
+  /** Applies a pulled statement; clears are known to the fleet and not forwarded. Returns false if it is malformed. */
+  function handlePulled(item: unknown): boolean {
+    const message = Reports.tryParse(item);
+    if (message?.kind === "broke") {
+      handleConnectionLoss(message);
+      return true;
+    }
+    if (message?.kind !== "answered" || message.stamp === undefined) {
+      return false;
+    }
+    const { fingerprint, stamp, isFleetWide } = message;
+    addClear(fingerprint, stamp, isFleetWide === true);
+    return true;
   }
 
   async function pull(peer: Types.InstanceId): Promise<void> {
     if (hasPulled || peers === undefined) return;
     hasPulled = true;
-    const params = { kind: "pull" };
+    const params: Reports.Message = { kind: "pull", withClears: true };
     const response = await peers.call<unknown>(
       peer,
       METHOD,
@@ -280,10 +311,8 @@
       return;
     }
     let discarded = 0;
-    for (const item of response.value.slice(0, MAX_FINGERPRINTS)) {
-      const message = Reports.tryParse(item);
-      if (message?.kind === "broke") handleMessage(message);
-      else discarded++;
+    for (const item of response.value.slice(0, 2 * MAX_FINGERPRINTS)) {
+      if (!handlePulled(item)) discarded++;
     }
     if (discarded > 0) {
       log.warn("poison-reports-discarded", { peer, discarded });
@@ -293,22 +322,18 @@
   peers?.handle(METHOD, (params) => {
     const message = Reports.tryParse(params);
     if (message === undefined) throw new TypeError("malformed poison.report");
-    if (message.kind === "pull") return getReports();
+    if (message.kind === "pull") return getReports(message.withClears === true);
     handleMessage(message);
     return true;
   });
   peers?.onHeartbeat((heartbeat) => void pull(heartbeat.id));
 
   async function confirmBlock(fingerprint: string): Promise<void> {
-    const suspicion = suspicions.get(fingerprint);
+    const suspicion = evidence.getSuspicion(fingerprint);
     if (peers === undefined || suspicion === undefined) return;
-    if (!isBlocked(fingerprint) || !isFullMesh()) return;
-    const report: Reports.ConnectionLossReport = {
-      kind: "broke",
-      fingerprint,
-      targets: [...suspicion.targets],
-      blockMs: suspicion.blockedUntilMs - clock.nowMs(),
-    };
+    if (!evidence.isBlocked(fingerprint) || !isFullMesh()) return;
+    const blockMs = suspicion.blockedUntilMs - clock.nowMs();
+    const report = Reports.createReport(fingerprint, suspicion, blockMs);
     const reachable = peers.getMembers().filter((member) => member.isReachable);
     await Promise.all(
       reachable.map(({ heartbeat }) =>
@@ -318,34 +343,31 @@
   }
 
   return {
-    isBlocked,
+    isBlocked: evidence.isBlocked,
     confirmBlock,
     reportConnectionLoss(fingerprint, targetId, sentAtMs = clock.nowMs()) {
       const target = Reports.getReportedTarget(targetId);
-      const isLossExplained = isExplained(fingerprint, sentAtMs);
-      const hasNewEvidence = addEvidence(
-        fingerprint,
-        [target],
-        BLOCK_MS,
-        isLossExplained,
-      );
-      if (!hasNewEvidence) return;
-      const suspicion = suspicions.get(fingerprint);
-      const report: Reports.ConnectionLossReport = {
-        kind: "broke",
-        fingerprint,
-        targets: [...suspicion?.targets ?? [target]],
-        blockMs: BLOCK_MS,
-        isExplained: suspicion?.isUnexplained !== true,
+      const stamp = evidence.createLossStamp(fingerprint);
+      const losses = {
+        targets: new Map([[target, stamp]]),
+        unexplainedStamp: isExplained(fingerprint, sentAtMs) ? 0 : stamp,
       };
-      sendReport(report, hasBlockEvidence(fingerprint));
+      if (!addLosses(fingerprint, losses, BLOCK_MS)) return;
+      const known = evidence.getSuspicion(fingerprint) ?? losses;
+      const report = Reports.createReport(fingerprint, known, BLOCK_MS);
+      sendReport(report, evidence.hasBlockEvidence(fingerprint));
     },
     reportResponse(fingerprint) {
       recordResponse(fingerprint);
-      const wasBlocked = isBlocked(fingerprint);
-      if (!clearSuspicion(fingerprint)) return;
-      sendReport({ kind: "answered", fingerprint }, wasBlocked);
+      if (evidence.getSuspicion(fingerprint) === undefined) return;
+      const isFleetWide = evidence.isBlocked(fingerprint);
+      const stamp = evidence.createClearStamp(fingerprint);
+      addClear(fingerprint, stamp, isFleetWide);
+      sendReport(
+        { kind: "answered", fingerprint, stamp, isFleetWide },
+        isFleetWide,
+      );
     },
-    getSize: () => suspicions.size,
+    getSize: () => evidence.getSuspicions().size,
   };
 }
--- a/src/retry/poison_reports.ts
+++ b/src/retry/poison_reports.ts
@@ -2,12 +2,15 @@
 import * as Crypto from "node:crypto";
 import * as Wire from "../peer/wire.ts";
 import type * as Types from "../types.ts";
+import type * as Evidence from "./poison_evidence.ts";
 
 /** Instances of earlier builds send fingerprints of up to this length. */
 const MAX_FINGERPRINT_LENGTH = 256;
 const MAX_REPORTED_TARGETS = 16;
 const MAX_TARGET_LENGTH = 128;
 const MAX_BLOCK_MS = 5 * 60_000;
+/** Largest accepted stamp; larger ones could not be exceeded by later stamps. */
+const MAX_STAMP = 2 ** 52;
 /** Bytes of the reports in one message; the rest of the line holds the frame of the message. */
 const MAX_REPORTS_BYTES = Wire.MAX_LINE_BYTES - 1_024;
 
@@ -22,13 +25,62 @@
   readonly isExplained?: boolean;
   /** True when the report comes from another failure domain. */
   readonly isFromOutside?: boolean;
+  /** Stamps of the losses, in the order of `targets`; earlier builds send and accept none. */
+  readonly stamps?: readonly number[];
+  /** Stamp of the last loss that no response explains; 0 for none. */
+  readonly unexplainedStamp?: number;
 }
 
+/** Reports a response, which clears the losses with stamps up to its own. */
+export interface ClearReport {
+  readonly kind: "answered";
+  readonly fingerprint: string;
+  /** Earlier builds send none. */
+  readonly stamp?: number;
+  /** True if it is forwarded to all instances, as the request was blocked. */
+  readonly isFleetWide?: boolean;
+}
+
+/** A message about one fingerprint. */
+export type Statement = ConnectionLossReport | ClearReport;
+
 /** A connection loss, a response that clears earlier reports, or the request for all reports. */
 export type Message =
-  | ConnectionLossReport
-  | { readonly kind: "answered"; readonly fingerprint: string }
-  | { readonly kind: "pull" };
+  | Statement
+  | {
+    readonly kind: "pull";
+    /** True if the sender understands clears in the response. */
+    readonly withClears?: boolean;
+  };
+
+/** Creates the report of these losses. `blockMs` is the time for which the receiver blocks the request. */
+export function createReport(
+  fingerprint: string,
+  losses: Evidence.Losses,
+  blockMs: number,
+): ConnectionLossReport {
+  return {
+    kind: "broke",
+    fingerprint,
+    targets: [...losses.targets.keys()],
+    blockMs,
+    isExplained: losses.unexplainedStamp === 0,
+    stamps: [...losses.targets.values()],
+    unexplainedStamp: losses.unexplainedStamp,
+  };
+}
+
+/** Returns the losses of a report; undefined when it has no stamps. */
+export function getStampedLosses(
+  report: ConnectionLossReport,
+): Evidence.Losses | undefined {
+  const { targets, stamps, unexplainedStamp } = report;
+  if (stamps === undefined || unexplainedStamp === undefined) return undefined;
+  return {
+    targets: new Map(targets.map((target, i) => [target, stamps[i] ?? 0])),
+    unexplainedStamp,
+  };
+}
 
 /**
  * Returns the name of a target in reports: its id, or a digest of an id that is
@@ -43,16 +95,17 @@
  * Returns the reports that fit into one message, in their order. Reports of blocked
  * requests are selected first, then the newest; `reports` begins with the oldest.
  */
-export function selectForMessage(
-  reports: readonly ConnectionLossReport[],
-): readonly ConnectionLossReport[] {
-  const isBlock = ({ blockMs = 0 }: ConnectionLossReport) => blockMs > 0;
+export function selectForMessage<T extends Statement>(
+  reports: readonly T[],
+): readonly T[] {
+  const isBlock = (report: T) =>
+    report.kind === "broke" && (report.blockMs ?? 0) > 0;
   const newestFirst = reports.toReversed();
   const byImportance = [
     ...newestFirst.filter(isBlock),
     ...newestFirst.filter((report) => !isBlock(report)),
   ];
-  const selected = new Set<ConnectionLossReport>();
+  const selected = new Set<T>();
   let bytes = 0;
   for (const report of byImportance) {
     bytes += Buffer.byteLength(JSON.stringify(report)) + 1;
@@ -66,6 +119,21 @@
   return typeof value === "string" && value !== "" && value.length <= maxLength;
 }
 
+function isStamp(value: unknown): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0 &&
+    Number(value) <= MAX_STAMP;
+}
+
+/** Returns the stamps of a report; none if they are absent or malformed, as in a report of an earlier build. */
+function parseStamps(
+  { stamps, unexplainedStamp }: Readonly<Record<string, unknown>>,
+  count: number,
+): Pick<ConnectionLossReport, "stamps" | "unexplainedStamp"> {
+  const isValid = Array.isArray(stamps) && stamps.length === count &&
+    stamps.every(isStamp) && isStamp(unexplainedStamp);
+  return isValid ? { stamps, unexplainedStamp } : {};
+}
+
 function tryParseConnectionLoss(
   fingerprint: string,
   value: Readonly<Record<string, unknown>>,
@@ -87,19 +155,25 @@
     blockMs: boundedMs,
     isExplained: value["isExplained"] === true,
     isFromOutside: value["isFromOutside"] === true,
+    ...parseStamps(value, targets.length),
   };
 }
 
 /** Parses a message; undefined when it is malformed. */
 export function tryParse(value: unknown): Message | undefined {
   if (typeof value !== "object" || value === null) return undefined;
-  const { kind, fingerprint } = value as Readonly<Record<string, unknown>>;
-  if (kind === "pull") return { kind };
+  const fields = value as Readonly<Record<string, unknown>>;
+  const { kind, fingerprint, stamp } = fields;
+  if (kind === "pull") {
+    return { kind, withClears: fields["withClears"] === true };
+  }
   if (!isBoundedString(fingerprint, MAX_FINGERPRINT_LENGTH)) return undefined;
-  if (kind === "answered") return { kind, fingerprint };
+  if (kind === "answered") {
+    const isFleetWide = fields["isFleetWide"] === true;
+    return isStamp(stamp)
+      ? { kind, fingerprint, stamp, isFleetWide }
+      : { kind, fingerprint };
+  }
   if (kind !== "broke") return undefined;
-  return tryParseConnectionLoss(
-    fingerprint,
-    value as Readonly<Record<string, unknown>>,
-  );
+  return tryParseConnectionLoss(fingerprint, fields);
 }
