--- a/tests/platform/adapter_test.ts
+++ b/tests/platform/adapter_test.ts
@@ -101,6 +101,25 @@
     expect([first?.isRepeatable, second?.isRepeatable]).toEqual([true, false]);
   });
 
+  // Guards against a download that isn't sent again, and a request of an unknown kind that
+  // runs twice.
+  it.each([
+    ["safe", true],
+    ["download", true],
+    ["unsafe", false],
+    ["Download", false],
+    ["upload", false],
+    [["download"], false],
+    [undefined, false],
+  ])("lets requests of a route of kind %j run again: %s", (kind, expected) => {
+    const [host] = config.hosts;
+    const hosts = [{ ...host, paths: [{ ...host!.paths[0], kind }] }];
+    const change = decode("op/config", { ...config, hosts });
+    if (change?.kind !== "config") throw new Error("no configuration");
+    const [route] = change.config.routesByHost.get("shop.example")!;
+    expect(route?.isRepeatable).toBe(expected);
+  });
+
   it("decodes target entries, evacuations and removals", () => {
     const entry = {
       service: "orders",
