Read the fourth figure of load reports

Some targets add to X-Server-Load how long work takes on their machine now. The figure was parsed and dropped. LoadReport gets the optional field `slowdown` (1 = as usual), a hundredth of the figure. Nothing uses the field yet.

--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -175,6 +175,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** Time that work takes on the target's machine now, as a multiple of the usual time; undefined when the target does not name it. */
+  readonly slowdown?: number;
 }
 
 /** Information in the status and headers of a target's response. */
