Bound what waits for peers over all connections, and limit droppable messages

Cause: each connection let 16 MB wait for its peer, so that 32 peers that don't read could hold 512 MB, more than the heap of 158 MB. A message that circulated between instances filled it that way.

When the sum is exceeded, the connection with the most waiting data is closed at once. Gauges and a bounded log line show what was dropped.

--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -64,6 +64,13 @@
   sender: Types.InstanceId,
 ) => Promise<unknown> | unknown;
 
+/**
+ * Whether a notification may be dropped under pressure. One that is droppable is
+ * superseded by the next of its method, which follows within seconds. Calls and
+ * their responses, items, tokens and requests are required.
+ */
+export type MessageKind = "required" | "droppable";
+
 /** Connections to the peers, and their heartbeats. */
 export interface PeerNet {
   readonly self: Types.InstanceId;
@@ -84,6 +91,7 @@
     ids: readonly Types.InstanceId[],
     method: string,
     params: unknown,
+    kind?: MessageKind,
   ): void;
   handle(method: string, fn: RpcHandler): void;
   /** Calls `fn` after each heartbeat that arrives. */
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -23,6 +23,7 @@
 import * as Handover from "../once/handover.ts";
 import * as Relay from "../once/relay.ts";
 import * as Tickets from "../once/tickets.ts";
+import * as Drops from "../peer/drops.ts";
 import * as PeerNet from "../peer/net.ts";
 import * as PlatformClient from "../platform/client.ts";
 import * as FairQueue from "../queue/fair_queue.ts";
@@ -245,7 +246,13 @@
   rootSupervisor.every(
     "peer-usage",
     PEER_USAGE_INTERVAL_MS,
-    () => metrics.gauge("peerMessagesDiscarded", peers.getDiscardedCount()),
+    () => {
+      metrics.gauge("peerMessagesDiscarded", peers.getDiscardedCount());
+      const usage = Drops.formatUsage(peers.getSendUsage());
+      for (const [name, value] of Object.entries(usage)) {
+        metrics.gauge(name, value);
+      }
+    },
   );
 
   const ready = startServing();
--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -5,6 +5,7 @@
 import * as Crypto from "node:crypto";
 import * as Clock from "../clock.ts";
 import type * as Log from "../log.ts";
+import * as Drops from "../peer/drops.ts";
 import * as PeerNet from "../peer/net.ts";
 import * as Rendezvous from "../rendezvous.ts";
 import type * as Poison from "../retry/poison.ts";
@@ -259,6 +260,7 @@
     getHeartbeat,
     onHeartbeatsSent: () => statusGossip.sendWithHeartbeats(),
     localAddress: settings.listen.localAddress,
+    memoryBytes: instance.memoryBytes,
     selectPeers: (members) => Topology.selectPeers(instance, members),
     supervisor: supervisor.createChild("peers"),
     log,
@@ -387,6 +389,7 @@
         members: peers.getMembers().length,
         connected: peers.getConnectedCount(),
         peerMessagesDiscarded: peers.getDiscardedCount(),
+        ...Drops.formatUsage(peers.getSendUsage()),
       };
     },
   };
--- a/src/gateway/status_gossip.ts
+++ b/src/gateway/status_gossip.ts
@@ -88,6 +88,15 @@
     return peers.tryGetMember(id)?.heartbeat.domain;
   }
 
+  /** Sends a message that the next one, after at most 1 s, supersedes. */
+  function send(
+    ids: readonly Types.InstanceId[],
+    method: string,
+    params: unknown,
+  ): void {
+    peers.notify(ids, method, params, "droppable");
+  }
+
   function handleStatus(params: unknown, sender: Types.InstanceId): void {
     if (!Json.isObject(params)) return;
     const { count, held, keeper, revisions, storeAgeMs } = params;
@@ -123,7 +132,7 @@
     const coordinator = pool.getCoordinator();
     if (params["isPassedOn"] === true || coordinator === peers.self) return;
     const message = { domain: reportedDomain, demands, isPassedOn: true };
-    peers.notify([coordinator], DEMANDS_METHOD, message);
+    send([coordinator], DEMANDS_METHOD, message);
   }
 
   function sendTo(
@@ -139,18 +148,18 @@
       storeAgeMs: Math.min(Math.round(feed.getStoreAgeMs()), MAX_AGE_MS),
       count: memberList.getDomainMembers().length,
     };
-    if (remoteIds.length > 0) peers.notify(remoteIds, STATUS_METHOD, status);
+    if (remoteIds.length > 0) send(remoteIds, STATUS_METHOD, status);
     const keeper = pool.getCoordinator();
     const localStatus = { ...status, keeper };
     if (!isLargeFleet()) {
-      return peers.notify(localIds, STATUS_METHOD, localStatus);
+      return send(localIds, STATUS_METHOD, localStatus);
     }
     const counts = memberList.getReportedCounts().map((reported) =>
       [reported.domain, reported.count, reported.ageMs] as const
     );
     const report = opts.getDomainReport();
     const message = { ...localStatus, report, counts };
-    peers.notify(localIds, STATUS_METHOD, message);
+    send(localIds, STATUS_METHOD, message);
   }
 
   /** Sends a status message to a new peer at once: instances that start together must not wait 1 s for their coordinator. */
@@ -169,7 +178,7 @@
     // One peer of each domain forwards the demands: links between regions are expensive.
     const demands = quota.getDemands();
     const recipients = [...remote.values()].flatMap((ids) => ids.slice(0, 1));
-    peers.notify(recipients, DEMANDS_METHOD, { domain, demands });
+    send(recipients, DEMANDS_METHOD, { domain, demands });
   }
 
   peers.onHeartbeat(greet);
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -6,6 +6,7 @@
 import type * as Types from "../types.ts";
 import * as Connection from "./connection.ts";
 import * as Dial from "./dial.ts";
+import * as SendBudget from "./send_budget.ts";
 
 /** Calls the methods of one instance over one connection. */
 export interface PeerClient {
@@ -34,6 +35,8 @@
   readonly id: string;
 }): PeerClient {
   const server = Connection.createServer();
+  const clock = Clock.systemClock;
+  const budget = SendBudget.createSendBudget({ clock });
   const incarnation = Crypto.randomUUID();
   let conn: Connection.Connection | undefined;
   /** The connection attempt in progress, shared by all calls that start meanwhile. */
@@ -46,7 +49,8 @@
       self: { id: args.id, incarnation, role: "tool", seq: 0 },
       secret: args.secret,
       server,
-      clock: Clock.systemClock,
+      clock,
+      budget,
     });
     connecting = undefined;
     if (dialed.isErr()) return dialed;
--- a/src/peer/connection.ts
+++ b/src/peer/connection.ts
@@ -5,6 +5,7 @@
 import * as ResultCodes from "../result_codes.ts";
 import type * as Handshake from "./handshake.ts";
 import type * as LineSocket from "./line_socket.ts";
+import type * as SendBudget from "./send_budget.ts";
 import * as Wire from "./wire.ts";
 
 const CODE_TIMEOUT = -32_001;
@@ -57,6 +58,8 @@
   notify(method: string, params: unknown): void;
   /** Sends a line that `formatNotification` returned. */
   sendLine(line: string): void;
+  /** Like `sendLine`, for a droppable message; returns why it was dropped. */
+  sendDroppable(line: string): SendBudget.DropReason | undefined;
   /** Called once per tick; returns the number of consecutive ticks in which no data arrived. */
   countTickWithoutData(): number;
   /** True if no call is pending in either direction. */
@@ -270,6 +273,7 @@
       if (line !== undefined) socket.write(line);
     },
     sendLine: (line) => void socket.write(line),
+    sendDroppable: socket.writeDroppable,
     countTickWithoutData,
     isIdle: () => pendingCalls === 0,
     closed: socket.closed,
--- a/src/peer/dial.ts
+++ b/src/peer/dial.ts
@@ -7,6 +7,7 @@
 import * as Connection from "./connection.ts";
 import * as Handshake from "./handshake.ts";
 import * as LineSocket from "./line_socket.ts";
+import type * as SendBudget from "./send_budget.ts";
 import * as Wire from "./wire.ts";
 
 /** Longest time in ms for a TCP connection to be established. */
@@ -65,13 +66,14 @@
   readonly secret: string;
   readonly server: Connection.Server;
   readonly clock: Clock.Clock;
+  readonly budget: SendBudget.SendBudget;
   /** Source IP of the connection; the system chooses it if undefined. */
   readonly localAddress?: string | undefined;
 }): Promise<Result<Connection.Connection, ResultCodes.Failure>> {
   const connected = await connect(args.address, args.localAddress);
   if (connected.isErr()) return connected;
   const openedAtMs = args.clock.nowMs();
-  const socket = LineSocket.createLineSocket(connected.value);
+  const socket = LineSocket.createLineSocket(connected.value, args.budget);
   const remote = await Handshake.initiate(socket, args.self, args.secret);
   if (remote.isErr()) {
     socket.close("handshake failed");
--- a/src/peer/line_socket.ts
+++ b/src/peer/line_socket.ts
@@ -1,12 +1,13 @@
 /** Lines over a TCP socket. The handshake awaits each line; later lines go to a callback. */
 import type * as Net from "node:net";
+import type * as SendBudget from "./send_budget.ts";
 import * as Wire from "./wire.ts";
 
 /**
- * Bytes that may be queued for sending. The connection is closed when a slow
- * reader exceeds them, as its backlog would otherwise grow without bound.
+ * Length of the lines that are sent together from which they are not kept until
+ * the end of the event-loop iteration, so that a burst is checked in time.
  */
-const MAX_BACKLOG_BYTES = 16 * 1024 * 1024;
+const MAX_COLLECTED_LENGTH = 65_536;
 
 /** Longest time in ms for which a closed socket still sends its queued data. */
 const CLOSE_FLUSH_TIMEOUT_MS = 500;
@@ -26,6 +27,11 @@
   onLine(fn: (line: string) => void): void;
   /** Queues a line. Returns false if the socket is closed. */
   write(line: string): boolean;
+  /**
+   * Queues a line that the next one of its kind supersedes, or returns why it
+   * was dropped.
+   */
+  writeDroppable(line: string): SendBudget.DropReason | undefined;
   /** Resolves with the reason once the socket is closed. */
   readonly closed: Promise<string>;
   isClosed(): boolean;
@@ -35,8 +41,14 @@
   getBytes(): { readonly received: number; readonly sent: number };
 }
 
-/** Wraps a connected socket; its lines are limited to MAX_HANDSHAKE_LINE_BYTES at first. */
-export function createLineSocket(socket: Net.Socket): LineSocket {
+/**
+ * Wraps a connected socket; its lines are limited to MAX_HANDSHAKE_LINE_BYTES at
+ * first. `budget` bounds what waits to be sent, over all sockets of the process.
+ */
+export function createLineSocket(
+  socket: Net.Socket,
+  budget: SendBudget.SendBudget,
+): LineSocket {
   const splitter = Wire.createLineSplitter(Wire.MAX_HANDSHAKE_LINE_BYTES);
   const lineQueue: string[] = [];
   /**
@@ -52,25 +64,50 @@
     resolveClosed = resolve;
   });
 
+  const allowance = budget.open({
+    getQueuedBytes: () => outgoingData.length + socket.writableLength,
+    abort,
+  });
+
   function close(reason: string): void {
     if (closeReason !== undefined) return;
     flush();
-    closeReason = reason;
+    // The flush may have exceeded the budget.
+    if (closeReason !== undefined) return;
     // Queued responses are still sent, unless the remote end is unreachable.
     socket.destroySoon();
     setTimeout(() => socket.destroy(), CLOSE_FLUSH_TIMEOUT_MS).unref();
+    finish(reason);
+  }
+
+  /** Closes the socket at once, as its queued data must not stay in memory. */
+  function abort(reason: string): void {
+    outgoingData = "";
+    socket.destroy();
+    if (closeReason === undefined) finish(reason);
+  }
+
+  function finish(reason: string): void {
+    closeReason = reason;
     wakeReader?.();
     resolveClosed(reason);
   }
 
   function flush(): void {
     if (outgoingData === "" || closeReason !== undefined) return;
-    const data = outgoingData;
+    // A buffer is counted in bytes, and what waits is kept outside the heap.
+    const data = Buffer.from(outgoingData);
     outgoingData = "";
     socket.write(data);
-    if (socket.writableLength > MAX_BACKLOG_BYTES) {
-      close("peer reads too slowly");
-    }
+    allowance.check();
+  }
+
+  function write(line: string): boolean {
+    if (closeReason !== undefined) return false;
+    if (outgoingData === "") setImmediate(flush);
+    outgoingData += `${line}\n`;
+    if (outgoingData.length > MAX_COLLECTED_LENGTH) flush();
+    return closeReason === undefined;
   }
 
   function deliver(line: string): void {
@@ -89,7 +126,10 @@
     lines.forEach(deliver);
   });
   socket.on("error", (err) => close(`socket error: ${err.message}`));
-  socket.on("close", () => close("closed by the other side"));
+  socket.on("close", () => {
+    close("closed by the other side");
+    allowance.close();
+  });
 
   return {
     async read(timeoutMs) {
@@ -110,12 +150,11 @@
       lineListener = fn;
       lineQueue.splice(0).forEach(deliver);
     },
-    write(line) {
-      if (closeReason !== undefined) return false;
-      if (outgoingData === "") setImmediate(flush);
-      outgoingData += `${line}\n`;
-      if (outgoingData.length > MAX_BACKLOG_BYTES) flush();
-      return closeReason === undefined;
+    write,
+    writeDroppable(line) {
+      const dropReason = allowance.tryTake(Buffer.byteLength(line) + 1);
+      if (dropReason === undefined) write(line);
+      return dropReason;
     },
     closed,
     isClosed: () => closeReason !== undefined,
--- a/src/peer/listener.ts
+++ b/src/peer/listener.ts
@@ -10,6 +10,7 @@
 import * as Connection from "./connection.ts";
 import * as Handshake from "./handshake.ts";
 import * as LineSocket from "./line_socket.ts";
+import type * as SendBudget from "./send_budget.ts";
 import type * as Tasks from "./tasks.ts";
 import * as Wire from "./wire.ts";
 
@@ -46,6 +47,7 @@
   readonly serve: (conn: Connection.Connection) => Promise<void>;
   readonly log: Log.Logger;
   readonly clock: Clock.Clock;
+  readonly budget: SendBudget.SendBudget;
 }): Listener {
   const { clock, log } = args;
   const pendingHandshakes = new Set<LineSocket.LineSocket>();
@@ -53,7 +55,7 @@
   const netServer = Net.createServer(acceptSocket);
 
   function acceptSocket(netSocket: Net.Socket): void {
-    const socket = LineSocket.createLineSocket(netSocket);
+    const socket = LineSocket.createLineSocket(netSocket, args.budget);
     const remoteAddress = netSocket.remoteAddress;
     args.tasks.run(
       `inbound ${remoteAddress}`,
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -10,6 +10,7 @@
 import * as Dialer from "./dialer.ts";
 import * as Discards from "./discards.ts";
 import * as Discovery from "./discovery.ts";
+import * as Drops from "./drops.ts";
 import type * as Handshake from "./handshake.ts";
 import * as Heartbeat from "./heartbeat.ts";
 import * as Listing from "./listing.ts";
@@ -18,6 +19,7 @@
 import * as Mesh from "./mesh.ts";
 import * as Registry from "./registry.ts";
 import * as Release from "./release.ts";
+import * as SendBudget from "./send_budget.ts";
 import * as Tasks from "./tasks.ts";
 
 /** Time in ms between heartbeats. */
@@ -62,10 +64,23 @@
   addSecret(secret: string): void;
   /** Messages discarded since the start, because they were malformed or too long to send. */
   getDiscardedCount(): number;
+  /** What waits for peers, and what was dropped and closed since the start because of that. */
+  getSendUsage(): SendUsage;
   /** Bytes of all peer connections since the process started. */
   getBytes(): { readonly received: number; readonly sent: number };
 }
 
+/** Figures of the budget for messages to peers. */
+export interface SendUsage {
+  /** Bytes that wait for all peers. */
+  readonly queuedBytes: number;
+  /** Connections closed, as too much waited for their peers. */
+  readonly closedConnections: number;
+  /** Droppable messages that were dropped, by reason. */
+  readonly dropped: Readonly<Record<SendBudget.DropReason, number>>;
+  readonly droppedBytes: number;
+}
+
 /** Selects, among all members without this instance, those to connect to. */
 export type SelectPeers = (
   members: readonly Mesh.MeshMember[],
@@ -91,6 +106,8 @@
   readonly onHeartbeatsSent?: (() => void) | undefined;
   /** Source IP of outgoing connections; the system chooses it if undefined. */
   readonly localAddress?: string | undefined;
+  /** Memory that the process may use, bytes; bounds what may wait for peers. */
+  readonly memoryBytes?: number | undefined;
   /** Selects the members to connect to; `Mesh.selectPeers` if undefined. */
   readonly selectPeers?: SelectPeers | undefined;
 }
@@ -102,6 +119,13 @@
   const selectPeers = args.selectPeers ??
     ((members) => Mesh.selectPeers({ id: self, domain: args.domain }, members));
   const discards = Discards.createDiscards({ clock, log });
+  const drops = Drops.createDrops({ clock, log });
+  const budget = SendBudget.createSendBudget({
+    clock,
+    maxQueuedBytes: args.memoryBytes === undefined
+      ? undefined
+      : SendBudget.getMaxQueuedBytes(args.memoryBytes),
+  });
   const server = Connection.createServer((method, conn, err) =>
     discards.record({ method, peer: conn.remote.id, reason: String(err) })
   );
@@ -139,6 +163,7 @@
         secret: secrets[seq % secrets.length]!,
         server,
         clock,
+        budget,
       });
       if (dialed.isErr()) isMeshStale = true;
       return dialed;
@@ -163,6 +188,7 @@
     serve,
     log,
     clock,
+    budget,
   });
 
   const calls = Calls.createCalls({
@@ -275,6 +301,17 @@
     return line;
   }
 
+  function sendDroppable(
+    conn: Connection.Connection,
+    method: string,
+    line: string,
+  ): void {
+    const reason = conn.sendDroppable(line);
+    if (reason === undefined) return;
+    const bytes = Buffer.byteLength(line);
+    drops.record({ method, peer: conn.remote.id, reason, bytes });
+  }
+
   function isUsable(id: Types.InstanceId): boolean {
     const isLeaving = members.tryGetHeartbeat(id)?.state === "leaving";
     return !isLeaving && !calls.isFailing(id);
@@ -356,11 +393,15 @@
       if (line === undefined) return;
       for (const conn of registry.getPreferred()) conn.sendLine(line);
     },
-    notify(ids, method, params) {
+    notify(ids, method, params, kind = "required") {
       if (ids.length === 0) return;
       const line = formatNotification(method, params);
       if (line === undefined) return;
-      for (const id of ids) registry.tryGet(id)?.sendLine(line);
+      for (const id of ids) {
+        const conn = registry.tryGet(id);
+        if (kind === "required") conn?.sendLine(line);
+        else if (conn !== undefined) sendDroppable(conn, method, line);
+      }
     },
     handle(method, fn) {
       server.addMethod(method, (params, conn) => fn(params, conn.remote.id));
@@ -372,6 +413,12 @@
     isUsable,
     getConnectedCount: () => registry.getPreferred().length,
     getDiscardedCount: discards.getCount,
+    getSendUsage: () => ({
+      queuedBytes: budget.getQueuedBytes(),
+      closedConnections: budget.getAbortedCount(),
+      dropped: drops.getCounts(),
+      droppedBytes: drops.getBytes(),
+    }),
     getBytes: registry.getBytes,
     sendHeartbeatNow,
     addSecret: (secret) => void secrets.push(secret),
