Limit how often instances relay a rate or a store age to each other

Cause: a report states the age of what was observed, and the receiver doesn't know how long the report was under way. Instances relay what others reported, so an observation that returns looks newer than the known one and circulates. The age of the last store response is relayed in the same way, and was even rounded down.

Change: such reports state their relays; one that came by more relays is the known one unless it seems 500 ms newer, and after 12 relays it is not passed on. Older builds ignore the field and are taken to report their own observations.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -9,6 +9,7 @@
 import type * as Supervisor from "../supervisor.ts";
 import type * as Contracts from "./contracts.ts";
 import type * as ItemsModule from "./items.ts";
+import * as RelayedObservation from "./relayed_observation.ts";
 import * as Revision from "./revision.ts";
 import type * as RestoreGuard from "./restore_guard.ts";
 import type * as StateModule from "./state.ts";
@@ -60,8 +61,10 @@
   getStoreAgeMs(): number;
   /** True while the store does not respond to this instance, and for 5 s after it was replaced as a failing reader. */
   isFailing(): boolean;
-  /** Records that, according to a peer, the store responded to some instance `ageMs` ago. */
-  recordStoreAge(ageMs: number): void;
+  /** Records that, according to a peer, the store responded to some instance `ageMs` ago; `relays` as read from its report. */
+  recordStoreAge(ageMs: number, relays: number): void;
+  /** Age to report to peers, ms, and the relays by which this instance knows it; Infinity if peers must not relay it further. */
+  getReportedStoreAge(): { readonly ageMs: number; readonly relays: number };
   /** Puts items in force that a peer reports as superseding what the restored store holds. */
   handleSuperseding(items: readonly GatewayTypes.StoreItem[]): void;
   /** Applies items from a peer and returns the changes; `graceMs` is how long missing entries may still reappear. */
@@ -99,7 +102,11 @@
 }): Feed {
   const { clock, items, log, state, store } = opts;
   /** Time of the last known store response to any instance. */
-  let storeSeenAtMs = -Infinity;
+  /** The last response of the store to any instance. */
+  let storeSeen: RelayedObservation.Observation = {
+    atMs: -Infinity,
+    relays: 0,
+  };
   let failingSinceMs: number | undefined;
   /** Until this time a replaced reader counts as failing; without it, it would be selected again at once. */
   let failedUntilMs = -Infinity;
@@ -176,9 +183,9 @@
   }
 
   function recordResponse(): void {
-    storeSeenAtMs = clock.nowMs();
+    storeSeen = { atMs: clock.nowMs(), relays: 0 };
     if (failingSinceMs === undefined) return;
-    const outageMs = Math.round(storeSeenAtMs - failingSinceMs);
+    const outageMs = Math.round(storeSeen.atMs - failingSinceMs);
     log.info("store-regained", { outageMs });
     // Entries expire only in an outage that the targets experience, too. Peers that
     // reached the store during this time show that only this instance was affected.
@@ -351,11 +358,18 @@
   }
 
   return {
-    getStoreAgeMs: () => clock.nowMs() - storeSeenAtMs,
+    getStoreAgeMs: () => clock.nowMs() - storeSeen.atMs,
+    getReportedStoreAge() {
+      const { atMs, relays } = storeSeen;
+      const isReportable = RelayedObservation.isReportable(storeSeen);
+      return { ageMs: isReportable ? clock.nowMs() - atMs : Infinity, relays };
+    },
     isFailing,
-    recordStoreAge(ageMs) {
+    recordStoreAge(ageMs, relays) {
       const now = clock.nowMs();
-      storeSeenAtMs = Math.max(storeSeenAtMs, now - ageMs);
+      const received = { atMs: now - ageMs, relays };
+      const isLater = RelayedObservation.isLater(received, storeSeen);
+      if (isLater) storeSeen = received;
       if (ageMs < FRESH_PEER_MS) freshPeerReportAtMs = now;
     },
     handleSuperseding: (superseding) => superseding.forEach(adopt),
--- a/src/gateway/status_gossip.ts
+++ b/src/gateway/status_gossip.ts
@@ -19,6 +19,7 @@
 import type * as Quota from "./quota.ts";
 import type * as MemberList from "./member_list.ts";
 import * as ItemSync from "./item_sync.ts";
+import * as RelayedObservation from "./relayed_observation.ts";
 import type * as RestoreGuard from "./restore_guard.ts";
 import * as TargetLimits from "./target_limits.ts";
 
@@ -100,7 +101,10 @@
   function handleStatus(params: unknown, sender: Types.InstanceId): void {
     if (!Json.isObject(params)) return;
     const { count, held, keeper, revisions, storeAgeMs } = params;
-    if (typeof storeAgeMs === "number") feed.recordStoreAge(storeAgeMs);
+    if (typeof storeAgeMs === "number") {
+      const relays = RelayedObservation.readRelays(params["storeRelays"]);
+      feed.recordStoreAge(storeAgeMs, relays);
+    }
     itemSync.recordPeerRevisions(sender, ItemSync.readRevisions(revisions));
     if (typeof held === "number") itemSync.recordPeerHeldCount(sender, held);
     targetLimits.recordReports(TargetLimits.readReports(params["limits"]));
@@ -140,12 +144,14 @@
     remoteIds: readonly Types.InstanceId[],
   ): void {
     const limits = targetLimits.getReports();
+    const storeAge = feed.getReportedStoreAge();
     const held = opts.restoreGuard.getHeldCount();
     const status = {
       ...(limits.length === 0 ? {} : { limits }),
       ...(held === 0 ? {} : { held }),
       revisions: items.getRevisions(),
-      storeAgeMs: Math.min(Math.round(feed.getStoreAgeMs()), MAX_AGE_MS),
+      storeAgeMs: Math.min(Math.ceil(storeAge.ageMs), MAX_AGE_MS),
+      storeRelays: storeAge.relays,
       count: memberList.getDomainMembers().length,
     };
     if (remoteIds.length > 0) send(remoteIds, STATUS_METHOD, status);
--- a/src/gateway/target_limits.ts
+++ b/src/gateway/target_limits.ts
@@ -16,6 +16,7 @@
 import * as Json from "../json.ts";
 import type * as Types from "../types.ts";
 import * as ColdStart from "./cold_start.ts";
+import * as RelayedObservation from "./relayed_observation.ts";
 
 /** Permits of a target, as the time in which as many requests accrue. */
 const PERMITS_S = 1.5;
@@ -33,6 +34,8 @@
   readonly ratePerS: number | null;
   /** Time since the response arrived, ms. */
   readonly ageMs: number;
+  /** Instances that relayed the report to its sender; undefined from an older build. */
+  readonly relays?: number;
 }
 
 /** The rates that targets name, and this instance's part of each. */
@@ -55,6 +58,8 @@
   ratePerS: number | undefined;
   /** Monotonic ms at which a response named it. */
   readAtMs: number;
+  /** Relays by which this instance knows it. */
+  relays: number;
   tokens: number;
   /** Monotonic ms up to which `tokens` are computed. */
   accruedAtMs: number;
@@ -108,18 +113,23 @@
     target: Types.TargetId,
     ratePerS: number | undefined,
     readAtMs: number,
+    relays: number,
   ): void {
     const limit = limits.get(target);
     if (limit === undefined && ratePerS === undefined) return;
     if (limit === undefined) {
       const accruedAtMs = clock.nowMs();
-      limits.set(target, { ratePerS, readAtMs, tokens: 0, accruedAtMs });
+      const tokens = 0;
+      limits.set(target, { ratePerS, readAtMs, relays, tokens, accruedAtMs });
       return opts.onChange?.(target, ratePerS);
     }
     if (readAtMs < limit.readAtMs) return;
+    const isSameRate = limit.ratePerS === ratePerS;
+    if (isSameRate && !isLater(limit, readAtMs, relays)) return;
     const isNamed = limit.ratePerS !== undefined;
     limit.ratePerS = ratePerS;
     limit.readAtMs = readAtMs;
+    limit.relays = relays;
     if (isNamed !== (ratePerS !== undefined)) opts.onChange?.(target, ratePerS);
   }
 
@@ -134,7 +144,7 @@
 
   return {
     recordResponse: (target, ratePerS) =>
-      record(target, ratePerS, clock.nowMs()),
+      record(target, ratePerS, clock.nowMs(), 0),
     canSend(target) {
       const limit = tryGetLimit(target);
       if (limit?.ratePerS === undefined) return true;
@@ -148,22 +158,32 @@
     getReports() {
       const nowMs = clock.nowMs();
       return [...limits]
-        .map(([target, { ratePerS, readAtMs }]) => ({
+        .filter(([, { readAtMs, relays }]) =>
+          RelayedObservation.isReportable({ atMs: readAtMs, relays })
+        )
+        .map(([target, { ratePerS, readAtMs, relays }]) => ({
           target,
           ratePerS: ratePerS ?? null,
           ageMs: Math.ceil(nowMs - readAtMs),
+          relays,
         }))
         .filter(({ ageMs }) => ageMs <= REPORT_MS);
     },
     recordReports(reports) {
       const nowMs = clock.nowMs();
-      for (const { ageMs, ratePerS, target } of reports) {
-        record(target, ratePerS ?? undefined, nowMs - ageMs);
+      for (const { ageMs, ratePerS, relays: raw, target } of reports) {
+        const relays = RelayedObservation.readRelays(raw);
+        record(target, ratePerS ?? undefined, nowMs - ageMs, relays);
       }
     },
   };
 }
 
+function isLater(limit: Limit, atMs: number, relays: number): boolean {
+  const known = { atMs: limit.readAtMs, relays: limit.relays };
+  return RelayedObservation.isLater({ atMs, relays }, known);
+}
+
 /** Reads the reports in a peer's message; malformed ones are omitted. */
 export function readReports(raw: unknown): readonly LimitReport[] {
   if (!Array.isArray(raw)) return [];
--- a/tests/gateway/status_budget_test.ts
+++ b/tests/gateway/status_budget_test.ts
@@ -60,7 +60,7 @@
   const gossip = StatusGossip.createStatusGossip(
     {
       peers: { self: "east-1-hub", notify, onHeartbeat() {}, handle() {} },
-      feed: { getStoreAgeMs: () => 12_345 },
+      feed: { getReportedStoreAge: () => ({ ageMs: 12_345, relays: 1 }) },
       items: { getRevisions: () => [1e12, 1e12, 1e12] },
       restoreGuard: { getHeldCount: () => 0 },
       memberList: {
