Reject invalid status lines before the HTTP parser reads them

On statuses below 100 and on 101 it fails an assertion, for whose message Node parses the source around it; in the bundled program, one file of 0.5 MB, the first failure at each assertion stopped the whole process for 5 to 8 s.

Change: response_head.ts decides from the first bytes of each response whether it is valid (HTTP/1.0 or 1.1, status 200 to 599, after interim responses 102 to 104). response_guard.ts checks the bytes as they are read from the socket: for targets and relays of the gateway, targets and probes of the daemon, and the store on both paths. An invalid response ends the exchange, counts as a broken exchange of the target but not as a lost connection, pauses an instance for relays, and is logged with at most 48 bytes of its first line. The request goes on by its kind.

--- a/src/admission/attempt.ts
+++ b/src/admission/attempt.ts
@@ -205,8 +205,11 @@
     };
   }
   slot.release({ kind: "broke" });
-  const sentAtMs = deps.clock.nowMs() - latencyMs;
-  deps.poison.reportConnectionLoss(ctx.fingerprint, slot.target.id, sentAtMs);
+  // The process of a target that sends an invalid response goes on.
+  if (!result.isInvalid) {
+    const sentAtMs = deps.clock.nowMs() - latencyMs;
+    deps.poison.reportConnectionLoss(ctx.fingerprint, slot.target.id, sentAtMs);
+  }
   deps.log.warn("target-broke", {
     requestId: ctx.id,
     target: slot.target.id,
--- a/src/forward/dispatch.ts
+++ b/src/forward/dispatch.ts
@@ -1,6 +1,7 @@
 /** Runs one exchange: sends the request, then buffers a short response or forwards a long one. */
 import type * as Undici from "undici";
 import * as BodyBuffer from "../body_buffer.ts";
+import * as ResponseGuard from "../response_guard.ts";
 import * as Debug from "../debug.ts";
 import type * as Body from "./body.ts";
 import type * as Exchange from "./exchange.ts";
@@ -90,11 +91,15 @@
     opts.resolve(result);
   }
 
-  function settleError(reason: string): void {
+  function settleError(reason: string, isInvalid = false): void {
     settle(
-      activeController === undefined
-        ? { kind: "not-sent", reason }
-        : { kind: "broke", reason, isResponseStarted, isBodyAborted },
+      activeController === undefined ? { kind: "not-sent", reason } : {
+        kind: "broke",
+        reason,
+        isResponseStarted,
+        isBodyAborted,
+        isInvalid,
+      },
     );
   }
 
@@ -195,7 +200,8 @@
         pendingWrites.then(finish, (err) => settleError(String(err)));
       },
       onResponseError(_controller, err) {
-        pendingWrites.finally(() => settleError(err.message));
+        const isInvalid = ResponseGuard.tryGetFirstBytes(err) !== undefined;
+        pendingWrites.finally(() => settleError(err.message, isInvalid));
       },
     },
   );
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -15,6 +15,7 @@
 import * as Dispatch from "./dispatch.ts";
 import type * as Headers from "./headers.ts";
 import * as OverheadGuard from "../overhead_guard.ts";
+import * as ResponseGuard from "../response_guard.ts";
 import * as Preconnect from "./preconnect.ts";
 
 /**
@@ -69,6 +70,8 @@
     readonly isResponseStarted: boolean;
     /** True when the caller's body was cut off or exceeded the limit, which is no fault of the target. */
     readonly isBodyAborted: boolean;
+    /** True when bytes arrived that are no valid response. */
+    readonly isInvalid: boolean;
   };
 
 /** Sends requests to targets. */
@@ -160,6 +163,7 @@
       req,
       () => isPreconnected = true,
       (socket) => {
+        ResponseGuard.watchResponses(socket);
         overhead = OverheadGuard.watchOverhead(
           socket,
           () => socket.destroy(EXCESS_BYTES),
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -10,6 +10,7 @@
 import type * as Clock from "../clock.ts";
 import type * as Types from "../types.ts";
 import * as OverheadGuard from "../overhead_guard.ts";
+import * as ResponseGuard from "../response_guard.ts";
 import * as Wire from "../peer/wire.ts";
 import type * as Cancellation from "./cancellation.ts";
 
@@ -36,6 +37,8 @@
   /** True while an exchange uses the connection. */
   isBusy: boolean;
   readonly overhead: OverheadGuard.OverheadGuard;
+  /** Begins the check of the response to the next request. */
+  readonly startResponse: () => void;
 }
 
 /** A connection could not be opened, so no byte of a request was sent. */
@@ -89,6 +92,11 @@
 export function createConnections(opts: {
   readonly clock: Clock.Clock;
   readonly localAddress?: string | undefined;
+  /** Receives the first bytes of each invalid response. */
+  readonly onInvalidResponse?: (
+    address: Types.Address,
+    firstBytes: string,
+  ) => void;
 }): Connections {
   const { clock } = opts;
   /** Idle connections of each address, the last used one at the end. */
@@ -223,6 +231,10 @@
           socket,
           () => socket.destroy(EXCESS_BYTES),
         ),
+        startResponse: ResponseGuard.watchResponses(
+          socket,
+          (firstBytes) => opts.onInvalidResponse?.(address, firstBytes),
+        ),
       };
       watchForReset(conn);
       openConnections.add(conn);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,6 +4,7 @@
  */
 import type * as Undici from "undici";
 import * as BodyBuffer from "../body_buffer.ts";
+import * as ResponseGuard from "../response_guard.ts";
 import type * as Cancellation from "./cancellation.ts";
 import * as Connections from "./connections.ts";
 import type * as MemoryBudget from "./memory_budget.ts";
@@ -37,6 +38,8 @@
     readonly kind: "broke";
     readonly reason: string;
     readonly isConnectionLost: boolean;
+    /** True when bytes arrived that are no valid response. */
+    readonly isInvalid?: boolean;
   }
   /** The exchange was cancelled. The caller of `exchange` destroys the connection, which cancels the request at the target. */
   | { readonly kind: "aborted" };
@@ -77,6 +80,7 @@
   conn.exchangeCount++;
   conn.isBusy = true;
   conn.overhead.start();
+  conn.startResponse();
   return new Promise((resolve) => {
     let status = 0;
     let headers: GatewayTypes.HeaderPairs = [];
@@ -139,10 +143,17 @@
         settle({ kind: "response", response });
       },
       onError(err) {
+        body = BodyBuffer.createBodyBuffer();
+        if (ResponseGuard.tryGetFirstBytes(err) !== undefined) {
+          const reason = err.message;
+          const isConnectionLost = false;
+          const isInvalid = true;
+          settle({ kind: "broke", reason, isConnectionLost, isInvalid });
+          return;
+        }
         const code = (err as NodeJS.ErrnoException).code ?? err.message;
         const isConnectionLost = code === "ECONNRESET" || code === "EPIPE" ||
           code === "UND_ERR_SOCKET";
-        body = BodyBuffer.createBodyBuffer();
         settle({ kind: "broke", reason: code, isConnectionLost });
       },
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,6 @@
 /** Composition of a gateway instance: the order in which its modules start, and its graceful stop. */
 import * as Clock from "../clock.ts";
-import type * as Log from "../log.ts";
+import * as Log from "../log.ts";
 import * as Metrics from "../metrics/metrics.ts";
 import * as Poison from "../retry/poison.ts";
 import * as RetryBudget from "../retry/retry_budget.ts";
@@ -55,6 +55,8 @@
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 /** Share of the machine's memory that request bodies may use until their requests have ended. */
 const BODY_MEMORY_SHARE = 0.3;
+/** Invalid responses of one address are logged at most once in this time. */
+const INVALID_RESPONSE_LOG_MS = 1_000;
 /** Interval of the usage log line; short enough to show changes within minutes, at negligible cost. */
 const USAGE_INTERVAL_MS = 10_000;
 
@@ -133,9 +135,20 @@
     writeText: deps.writeText,
   });
   const metrics = Metrics.createMetrics({ clock, instance: instance.id });
+  const limitInvalidLines = Log.createRepeatLimit(
+    INVALID_RESPONSE_LOG_MS,
+    clock.nowMs,
+  );
   const connections = Connections.createConnections({
     clock,
     localAddress: settings.listen.localAddress,
+    onInvalidResponse(address, firstBytes) {
+      metrics.count("invalid-responses");
+      const repeat = limitInvalidLines(address);
+      if (repeat === undefined) return;
+      const { suppressed } = repeat;
+      log.warn("invalid-response", { address, firstBytes, suppressed });
+    },
   });
   const workingSets = WorkingSet.createWorkingSets(
     clock,
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -21,7 +21,7 @@
 
 /** Instances to which one request may be passed on. */
 const MAX_INSTANCES = 2;
-/** Time for which no request goes to an instance to which a connection failed. */
+/** Time for which no request goes to an instance to which a connection failed, or that sent an invalid response. */
 const FAILED_PAUSE_MS = 1_000;
 /** Longest idle time after which a connection is reused; short for requests that can't be sent again if it is closed meanwhile. */
 const MAX_IDLE_MS = 3_000;
@@ -147,6 +147,10 @@
       .slice(0, MAX_INSTANCES);
   }
 
+  function pause({ id }: Directory.DirectoryInstance): void {
+    pausedUntilMs.set(id, clock.nowMs() + FAILED_PAUSE_MS);
+  }
+
   async function connect(
     { callerAddress, region }: Directory.DirectoryInstance,
     req: RelayRequest,
@@ -169,7 +173,7 @@
       if (req.cancellation.isCancelled()) {
         return { kind: "aborted", isSent: false };
       }
-      pausedUntilMs.set(instance.id, clock.nowMs() + FAILED_PAUSE_MS);
+      pause(instance);
       return { kind: "unavailable" };
     }
     const remainingMs = req.deadlineAtMs - clock.nowMs() -
@@ -194,6 +198,7 @@
     }
     if (result.kind === "broke") {
       connections.destroy(conn);
+      if (result.isInvalid === true) pause(instance);
       return { kind: "broke", instance: instance.id, reason: result.reason };
     }
     const { response } = result;
--- a/src/platform/exchange.ts
+++ b/src/platform/exchange.ts
@@ -1,6 +1,7 @@
 /** HTTP exchanges with the platform, and whether a failed call may have taken effect. */
 import { Pool } from "undici";
 import * as BodyBuffer from "../body_buffer.ts";
+import * as ResponseGuard from "../response_guard.ts";
 import type * as Clock from "../clock.ts";
 import * as Json from "../json.ts";
 import type * as Types from "../types.ts";
@@ -55,6 +56,9 @@
 }
 
 function getErrorCode(err: unknown): string {
+  if (ResponseGuard.tryGetFirstBytes(err) !== undefined) {
+    return (err as Error).message;
+  }
   const code = (err as { code?: unknown } | undefined)?.code;
   return typeof code === "string" ? code : String(err);
 }
@@ -85,7 +89,7 @@
   clock: Clock.Clock,
 ): Exchange {
   const pool = new Pool(`http://${address}`, {
-    connect: { timeout: connectTimeoutMs },
+    connect: ResponseGuard.createConnector({ timeout: connectTimeoutMs }),
     // The signal limits each call; undici's own time-outs are coarser.
     headersTimeout: 0,
     bodyTimeout: 0,
--- a/src/targets/prober.ts
+++ b/src/targets/prober.ts
@@ -6,6 +6,7 @@
  */
 import * as Undici from "undici";
 import * as Clock from "../clock.ts";
+import * as ResponseGuard from "../response_guard.ts";
 import type * as Entry from "./entry.ts";
 import type * as Health from "./health.ts";
 import type * as Pool from "./pool.ts";
@@ -234,7 +235,7 @@
     const dispatcher = new Undici.Agent({
       connections: 1,
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: ResponseGuard.createConnector({ timeout: CONNECT_TIMEOUT_MS }),
       // Not within `connect`, where undici overwrites it.
       ...localAddress === undefined ? {} : { localAddress },
       keepAliveTimeout: IDLE_CONNECTION_MS,
--- a/src/undici_parts.d.ts
+++ b/src/undici_parts.d.ts
@@ -8,6 +8,11 @@
   export default value;
 }
 
+declare module "undici/lib/core/connect.js" {
+  const value: typeof import("undici").buildConnector;
+  export default value;
+}
+
 declare module "undici/lib/dispatcher/pool.js" {
   const value: typeof import("undici").Pool;
   export default value;
--- a/testing/kv/kv_target.ts
+++ b/testing/kv/kv_target.ts
@@ -30,6 +30,8 @@
   /** Requests whose connection the gateway closed before the answer. */
   getCancelled(): number;
   setBehaviour(behaviour: Behaviour): void;
+  /** Sets the status line that it writes when it serves a request; undefined for a proper one. */
+  setStatusLine(line: string | undefined): void;
   /** Sets how long each request runs before it is served. */
   setServiceMs(ms: number): void;
   /** Sets the length of the bodies of its responses; they are short by default. */
@@ -55,6 +57,7 @@
   let rateLimitPerS: number | undefined;
   let behaviour: Behaviour = "serve";
   let serviceMs = 0;
+  let statusLine: string | undefined;
   let longBody: Buffer | undefined;
   let statedHeaders: Http.OutgoingHttpHeaders = {};
   let cancelled = 0;
@@ -95,6 +98,12 @@
           return;
         case "serve":
           ran.push(requestId);
+          if (statusLine !== undefined) {
+            return void req.socket.write(
+              `${statusLine}\r\nX-Request-Id: ${requestId}\r\n` +
+                "X-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
+            );
+          }
           res.setHeader("X-Server-Stamp", `stamp.${id}`);
           return void setTimeout(
             () =>
@@ -133,6 +142,7 @@
     getCancelled: () => cancelled,
     setBehaviour: (next) => void (behaviour = next),
     setHeaders: (headers) => void (statedHeaders = headers),
+    setStatusLine: (line) => void (statusLine = line),
     setServiceMs: (ms) => void (serviceMs = ms),
     setBodyBytes: (bytes) => void (longBody = Buffer.alloc(bytes, "x")),
     setRateLimit: (perS) => void (rateLimitPerS = perS),
