Keep a target's own 504 from overtaking the instance's deadline

Cause: the instance started its deadline timer for the full time, however long after the arrival of the request, and gave the target the time that was left, rounded down. A target that ends requests at their deadline then answered 504 before the instance's timer fired, by the delay on a busy machine and by up to 1 ms anywhere. Its 504 was passed on, without the outcome that the instance reports: [504, undefined] in place of [504, "unknown"] in admission_test.

Change: the timer is started for the time that is left, and the target is given that time rounded up and a timer step of 1 ms more. A timer that fires up to 1 ms early counts as the deadline; it would have been reported as 502.

The older test is unchanged.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -129,9 +129,11 @@
     return Err(Respond.createRejection("keyInQuery", "not-run"));
   }
   const deadlineMs = getDeadlineMs(req, rules);
+  // Time may have passed since the request arrived.
+  const remainingMs = start.startedAtMs + deadlineMs - deps.clock.nowMs();
   const timer = setTimeout(
     () => start.abort.abort(DEADLINE_EXPIRED),
-    deadlineMs,
+    Math.max(1, Math.ceil(remainingMs)),
   );
   const dispose = () => clearTimeout(timer);
   const body = await Body.readBody(req, deps.limits, start.abort.signal);
@@ -251,7 +253,7 @@
   rejection: Respond.Rejection | undefined,
 ): void {
   const isCallerDisconnected = ctx.signal.aborted &&
-    Context.getRemainingMs(ctx, deps.clock) > 0 && rejection !== undefined;
+    !Context.isDeadlineExpired(ctx, deps.clock) && rejection !== undefined;
   deps.metrics.record({
     service: ctx.route.service,
     account: ctx.caller.account,
--- a/src/admission/attempt.ts
+++ b/src/admission/attempt.ts
@@ -46,13 +46,13 @@
   ctx: Context.Context,
   address: string,
 ): Headers.HeaderPairs {
-  const remainingMs = Math.floor(Context.getRemainingMs(ctx, deps.clock));
+  const deadlineMs = Context.getTargetDeadlineMs(ctx, deps.clock);
   return [
     ["host", address],
     ...ctx.headers,
     ["anvilroute-account", ctx.caller.account],
     ["anvilroute-request-id", ctx.id],
-    ["anvilroute-deadline-ms", String(remainingMs)],
+    ["anvilroute-deadline-ms", String(deadlineMs)],
     // Lets the target compute the one-way latency of the request from its own clock.
     ["anvilroute-sent-at-ms", String(deps.clock.wallMs())],
   ];
@@ -187,7 +187,7 @@
 ): AttemptResult {
   const { slot } = placement;
   if (signal.aborted) {
-    const isDeadlineExpired = Context.getRemainingMs(ctx, deps.clock) === 0;
+    const isDeadlineExpired = Context.isDeadlineExpired(ctx, deps.clock);
     slot.release({ kind: isDeadlineExpired ? "timed-out" : "cancelled" });
     if (result.isResponseStarted) return { kind: "truncated" };
     const codeName = isDeadlineExpired ? "deadlinePassed" : "runUnknown";
--- a/src/admission/context.ts
+++ b/src/admission/context.ts
@@ -123,6 +123,23 @@
   }
 }
 
+/** Node's timers count whole ms, so that two of them for the same time may fire this far apart. */
+const TIMER_STEP_MS = 1;
+
+/**
+ * Time that a target is given, whole ms. Rounded up, so that a target whose clock
+ * runs like this instance's doesn't give up first: its own 504 would reach the caller
+ * in place of this instance's, which says that the outcome is unknown.
+ */
+export function getTargetDeadlineMs(ctx: Context, clock: Clock.Clock): number {
+  return Math.ceil(getRemainingMs(ctx, clock)) + TIMER_STEP_MS;
+}
+
+/** True at the deadline; a timer for it may fire a step early. */
+export function isDeadlineExpired(ctx: Context, clock: Clock.Clock): boolean {
+  return getRemainingMs(ctx, clock) < TIMER_STEP_MS;
+}
+
 /** Remaining time before the deadline in ms, at least 0. */
 export function getRemainingMs(ctx: Context, clock: Clock.Clock): number {
   return Math.max(0, ctx.deadlineAtMs - clock.nowMs());
--- a/tests/admission_test.ts
+++ b/tests/admission_test.ts
@@ -95,6 +95,31 @@
       );
     });
 
+    // Guards against a target's own 504 that overtakes the instance's deadline, so that
+    // the caller learns no outcome: the timer of a busy instance was started late.
+    it("the instance reports unknown at the deadline when it was busy as the request arrived", async () => {
+      const { config } = rig.instance.deps;
+      const { getTable } = config;
+      let isBusy = true;
+      Object.assign(config, {
+        getTable() {
+          const untilMs = performance.now() + 25;
+          while (isBusy && performance.now() < untilMs);
+          isBusy = false;
+          return getTable();
+        },
+      });
+      const res = await Requests.sendRequest(rig.instance.address, {
+        method: "PUT",
+        path: "/s/booking/bikes?ms=5000",
+        headers: { "anvilroute-deadline-ms": "200" },
+        body: "x",
+      });
+      Object.assign(config, { getTable });
+      expect([res.status, res.headers["anvilroute-outcome"]])
+        .toEqual([504, "unknown"]);
+    });
+
     it("the instance rejects a blocked request before it reaches a target", async () => {
       rig.instance.deps.poison.reportConnectionLoss = () => {};
       const isBlocked = rig.instance.deps.poison.isBlocked;
