Pass on load reports of targets between the instances of a region

In a fleet of 61 instances an instance sends to one target every 7 s, while a load report is valid for 1.5 s, so it knows only its own requests and sees no queue. A report that was passed on loses its weight within about 0.7 s.

The model has two new scenarios with skewed affinity keys, small queues and targets whose speed changes.

--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -18,6 +18,7 @@
 import * as Feed from "./feed.ts";
 import * as FleetView from "./fleet_view.ts";
 import * as ItemsModule from "./items.ts";
+import * as LoadExchange from "./load_exchange.ts";
 import * as Membership from "./membership.ts";
 import * as StatusGossip from "./status_gossip.ts";
 import * as Quota from "./quota.ts";
@@ -29,6 +30,7 @@
 import * as Revision from "./revision.ts";
 import * as StateModule from "./state.ts";
 import * as TargetLimits from "./target_limits.ts";
+import type * as TargetLoad from "./target_load.ts";
 import * as Topology from "./topology.ts";
 
 const SECRET_BYTES = 32;
@@ -52,6 +54,8 @@
   readonly getMemberState: () => Types.MemberState;
   /** True while this instance reaches no target. */
   readonly isStranded: () => boolean;
+  /** Receives the load reports that other instances pass on. */
+  readonly loads: TargetLoad.TargetLoads;
   readonly supervisor: Supervisor.Supervisor;
   readonly clock: Clock.Clock;
   readonly log: Log.Logger;
@@ -66,6 +70,7 @@
   readonly accounts: AccountPool.AccountPool;
   readonly coldStarts: ColdStart.ColdStarts;
   readonly targetLimits: TargetLimits.TargetLimits;
+  readonly loadExchange: LoadExchange.LoadExchange;
   /** Live instances to which callers may connect, without this instance. */
   getLiveInstances(): readonly Directory.DirectoryInstance[];
   /** Instances that receive reports of poison requests. */
@@ -304,6 +309,16 @@
     log,
   });
   deferred.itemSync = itemSync;
+  const loadExchange = LoadExchange.createLoadExchange({
+    loads: opts.loads,
+    getTargets: () =>
+      [...state.getConfig()?.services.keys() ?? []].flatMap((service) =>
+        state.getUsableTargets(service).map(({ entry }) => entry)
+      ),
+    getEpoch: state.getMembershipEpoch,
+    getRecipients: fleetView.getLoadRecipients,
+    clock,
+  });
   const statusGossip = StatusGossip.createStatusGossip({
     peers,
     feed,
@@ -314,6 +329,7 @@
     domainView,
     getDomainReport: fleetView.getDomainReport,
     targetLimits,
+    loadExchange,
     quota,
     pool: accounts,
     domain,
@@ -348,6 +364,7 @@
     accounts,
     coldStarts,
     targetLimits,
+    loadExchange,
     getLiveInstances: fleetView.getLiveInstances,
     reportRoute: {
       getCollector(fingerprint) {
@@ -376,6 +393,7 @@
       const { calls, receivedBytes } = store.getUsage();
       const { received, sent } = peers.getBytes();
       const itemCounts = itemSync.getCounts();
+      const loadCounts = loadExchange.getCounts();
       return {
         storeCalls: calls,
         storeBytes: receivedBytes,
@@ -387,6 +405,10 @@
         members: peers.getMembers().length,
         connected: peers.getConnectedCount(),
         peerMessagesDiscarded: peers.getDiscardedCount(),
+        loadReportsSent: loadCounts.sent,
+        loadReportsApplied: loadCounts.applied,
+        loadReportsIgnored: loadCounts.ignored,
+        loadReportsDropped: loadCounts.dropped,
       };
     },
   };
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -3,8 +3,10 @@
  * from the reports of the peers of its domain.
  */
 import * as Clock from "../clock.ts";
+import type * as LoadExchange from "./load_exchange.ts";
 import * as Mesh from "../peer/mesh.ts";
 import type * as PeerNet from "../peer/net.ts";
+import * as Rendezvous from "../rendezvous.ts";
 import type * as Types from "../types.ts";
 import type * as Directory from "./directory.ts";
 import type * as DomainView from "./domain_view.ts";
@@ -36,6 +38,8 @@
   getHubPeers(): readonly HubMember[];
   /** True if this instance itself may act for the local domain. */
   isHub(): boolean;
+  /** Peers to which this instance passes on the load reports of targets. */
+  getLoadRecipients(): LoadExchange.Recipients;
   /** Live instances to which callers may connect, without this instance. */
   getLiveInstances(): readonly Directory.DirectoryInstance[];
   /** The members that may spend a share of the fleet's limits, without this instance. */
@@ -122,6 +126,20 @@
       }));
   });
 
+  const getLoadRecipients = createCached((): LoadExchange.Recipients => {
+    const remote = getReachable()
+      .filter((peer) => peer.region === region && peer.domain !== domain)
+      .map(({ id }) => id);
+    const hubs = getHubPeers().map(({ id }) => id);
+    if (isFullMesh()) {
+      return { hubs: [...hubs, ...remote], remote: [], isHub: false };
+    }
+    if (getHubIds().has(self)) return { hubs, remote, isHub: true };
+    // The instances of a domain are divided among its hubs.
+    const hub = Rendezvous.rank(self, hubs)[0];
+    return { hubs: hub === undefined ? [] : [hub], remote: [], isHub: false };
+  });
+
   const getLiveInstances = createCached(() => {
     const connected = getReachable();
     const connectedIds = new Set(connected.map(({ id }) => id));
@@ -172,6 +190,7 @@
     getHubPeers,
     isHub: () =>
       isFullMesh() || getHubPeers().length === 0 || getHubIds().has(self),
+    getLoadRecipients,
     getLiveInstances,
     getObservedMembers,
     getDomainReport,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -96,6 +96,7 @@
     return reach !== undefined && (reach.isStranded() || reach.isLimited());
   }
 
+  const loads = TargetLoad.createTargetLoads(clock);
   const control = await Control.startControl({
     settings,
     store,
@@ -103,6 +104,7 @@
     watchedPrefixes: deps.watchedPrefixes,
     getMemberState: () => memberState,
     isStranded,
+    loads,
     supervisor,
     clock,
     log,
@@ -141,7 +143,6 @@
     clock,
     (target, isLimited) => log.info("target-limited", { target, isLimited }),
   );
-  const loads = TargetLoad.createTargetLoads(clock);
   const statements = TargetStatements.createTargetStatements(clock, log);
   const timings = Timings.createTimings();
   const splits = Split.createSplits(instance.id);
@@ -219,6 +220,7 @@
     workingSets,
     warmups: Warmup.createWarmups(clock),
     loads,
+    loadExchange: control.loadExchange,
     targetLimits,
     statements,
     coldStarts,
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -15,6 +15,7 @@
 import type * as Split from "./split.ts";
 import type * as StateModule from "./state.ts";
 import type * as TargetLimits from "./target_limits.ts";
+import type * as LoadExchange from "./load_exchange.ts";
 import type * as TargetLoad from "./target_load.ts";
 import type * as TargetStatements from "./target_statements.ts";
 import type * as TargetReach from "./target_reach.ts";
@@ -33,6 +34,7 @@
   readonly relay: Relay.Relay;
   readonly placement: Placement.Placement;
   readonly loads: TargetLoad.TargetLoads;
+  readonly loadExchange: Pick<LoadExchange.LoadExchange, "recordReport">;
   readonly targetLimits: TargetLimits.TargetLimits;
   readonly statements: TargetStatements.TargetStatements;
   readonly coldStarts: ColdStart.ColdStarts;
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -162,7 +162,10 @@
     const { isNotRun, load, rateLimitPerS } = fields;
     const { id } = entry;
     deps.statements.recordResponse(entry, fields);
-    if (load !== undefined) deps.loads.recordReport(id, load);
+    if (load !== undefined) {
+      deps.loads.recordReport(id, load);
+      deps.loadExchange.recordReport(id, load);
+    }
     if (isNotRun && rateLimitPerS === undefined) return;
     deps.targetLimits.recordResponse(id, rateLimitPerS);
   }
--- a/src/gateway/status_gossip.ts
+++ b/src/gateway/status_gossip.ts
@@ -4,7 +4,8 @@
  * domain's accounts. In a large fleet they also tell the peers of the local domain
  * which instances the sender is connected to, and the member counts of the other
  * domains, as most instances are connected to hubs only. Coordinators also send the
- * demands of their domain.
+ * demands of their domain. Load reports of targets are sent in messages of their own
+ * (`load_exchange.ts`), as they are of use for a second only.
  */
 import * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
@@ -19,6 +20,7 @@
 import type * as Quota from "./quota.ts";
 import type * as MemberList from "./member_list.ts";
 import * as ItemSync from "./item_sync.ts";
+import * as LoadExchange from "./load_exchange.ts";
 import type * as RestoreGuard from "./restore_guard.ts";
 import * as TargetLimits from "./target_limits.ts";
 
@@ -31,6 +33,7 @@
 const MAX_FULL_RATE_INSTANCES = 24;
 const STATUS_METHOD = "gateway.pulse";
 const DEMANDS_METHOD = "gateway.demands";
+const LOADS_METHOD = "gateway.loads";
 /** JSON cannot represent infinity. */
 const MAX_AGE_MS = 1e9;
 
@@ -63,6 +66,7 @@
   /** Instances of the local domain, as this instance itself sees them. */
   readonly getDomainReport: () => DomainView.DomainReport;
   readonly targetLimits: TargetLimits.TargetLimits;
+  readonly loadExchange: LoadExchange.LoadExchange;
   readonly quota: Quota.Quota;
   readonly pool: AccountPool.AccountPool;
   readonly domain: Types.Domain;
@@ -162,6 +166,12 @@
     else sendTo([], [id]);
   }
 
+  function sendLoads(): void {
+    for (const { params, to } of opts.loadExchange.createMessages()) {
+      peers.notify([to], LOADS_METHOD, params);
+    }
+  }
+
   function sendToAll(): void {
     const { local, remote } = opts.getConnected();
     sendTo(local, [...remote.values()].flat());
@@ -175,6 +185,10 @@
   peers.onHeartbeat(greet);
   peers.handle(STATUS_METHOD, handleStatus);
   peers.handle(DEMANDS_METHOD, handleDemands);
+  peers.handle(
+    LOADS_METHOD,
+    (params, sender) => opts.loadExchange.receive(sender, params),
+  );
   return {
     getIntervalMs,
     sendWithHeartbeats() {
@@ -188,6 +202,9 @@
           if (!isLargeFleet()) sendToAll();
         },
       );
+      // Not aligned to the clock: messages that pass several instances would wait
+      // for the whole interval at each.
+      opts.supervisor.every("loads", LoadExchange.INTERVAL_MS, sendLoads);
     },
   };
 }
--- a/src/gateway/target_load.ts
+++ b/src/gateway/target_load.ts
@@ -1,7 +1,7 @@
 /**
  * Tracks each target's load and health as this instance sees them: its own
- * requests in flight, the target's load reports, and the outcomes of recent
- * exchanges.
+ * requests in flight, the target's load reports, those that other instances passed
+ * on (`load_exchange.ts`), and the outcomes of recent exchanges.
  */
 import type * as Clock from "../clock.ts";
 import type * as Types from "../types.ts";
@@ -9,6 +9,13 @@
 
 /** Age up to which a load report is used. */
 const REPORT_VALID_MS = 1_500;
+/**
+ * Time in which a report that another instance passed on loses 63% of its weight,
+ * ms: most of a queue has been served by then, and all instances act on the same
+ * report. In the model, 0.3 to 1 s differ little; a report without decay makes all
+ * instances avoid the same targets in turns.
+ */
+const PEER_REPORT_DECAY_MS = 700;
 /** First pause of a target that can't be reached; it doubles with each further failure in a row. */
 const FIRST_PAUSE_MS = 400;
 const MAX_PAUSE_MS = 3_000;
@@ -39,6 +46,12 @@
   /** Records that a request at the target ended. */
   end(target: Types.TargetId, outcome: Outcome): void;
   recordReport(target: Types.TargetId, report: GatewayTypes.LoadReport): void;
+  /** Records requests that run or wait at the target according to a report that another instance read at `atMs` (monotonic ms). */
+  recordPeerReport(
+    target: Types.TargetId,
+    outstanding: number,
+    atMs: number,
+  ): void;
   /** Requests of all instances that run or wait at the target, as far as this instance knows. */
   getOutstanding(target: Types.TargetId): number;
   /** Share of recent requests that the target shed, 0 to 1. */
@@ -53,11 +66,16 @@
 interface Load {
   /** Requests of this instance in flight at the target. */
   inFlight: number;
+  /** Monotonic ms at which the requests in flight were sent, as if they ended in order; the oldest first. */
+  readonly sentAtMs: number[];
   /** The target's last load report. */
   report: GatewayTypes.LoadReport | undefined;
   reportAtMs: number;
   /** Requests of this instance in flight when the report arrived. */
   inFlightAtReport: number;
+  /** Requests at the target according to the newest report that was passed on. */
+  peerOutstanding: number;
+  peerReportAtMs: number;
   /** Failures in a row. */
   failures: number;
   /** Length of the next pause, ms. */
@@ -77,9 +95,12 @@
     if (existing !== undefined) return existing;
     const created: Load = {
       inFlight: 0,
+      sentAtMs: [],
       report: undefined,
       reportAtMs: -Infinity,
       inFlightAtReport: 0,
+      peerOutstanding: 0,
+      peerReportAtMs: -Infinity,
       failures: 0,
       pauseMs: FIRST_PAUSE_MS,
       pausedUntilMs: -Infinity,
@@ -115,11 +136,39 @@
     load.pausedUntilMs = -Infinity;
   }
 
+  /** Requests at the target by this instance's own requests and reports. */
+  function getOwnEstimate(load: Load): number {
+    const reportAgeMs = clock.nowMs() - load.reportAtMs;
+    if (load.report === undefined || reportAgeMs > REPORT_VALID_MS) {
+      return load.inFlight;
+    }
+    const { running, waiting } = load.report;
+    const changeSinceReport = load.inFlight - load.inFlightAtReport;
+    return Math.max(load.inFlight, running + waiting + changeSinceReport);
+  }
+
+  /** Requests at the target by the report that was passed on, its age and what this instance has sent since. */
+  function getPeerEstimate(load: Load): number {
+    const { peerOutstanding, peerReportAtMs, sentAtMs } = load;
+    // A newer report of this instance's own replaces it.
+    if (peerReportAtMs <= load.reportAtMs) return 0;
+    const ageMs = clock.nowMs() - peerReportAtMs;
+    const remaining = peerOutstanding * Math.exp(-ageMs / PEER_REPORT_DECAY_MS);
+    let sentSince = 0;
+    for (const atMs of sentAtMs) if (atMs > peerReportAtMs) sentSince++;
+    return remaining + sentSince;
+  }
+
   return {
-    start: (target) => void getLoad(target).inFlight++,
+    start(target) {
+      const load = getLoad(target);
+      load.inFlight++;
+      load.sentAtMs.push(clock.nowMs());
+    },
     end(target, outcome) {
       const load = getLoad(target);
       load.inFlight = Math.max(0, load.inFlight - 1);
+      load.sentAtMs.shift();
       switch (outcome) {
         case "answered":
           recordHealthy(load);
@@ -141,16 +190,17 @@
       load.reportAtMs = clock.nowMs();
       load.inFlightAtReport = load.inFlight;
     },
+    recordPeerReport(target, outstanding, atMs) {
+      const load = getLoad(target);
+      if (atMs <= load.peerReportAtMs) return;
+      load.peerOutstanding = outstanding;
+      load.peerReportAtMs = atMs;
+    },
     getOutstanding(target) {
       const load = loads.get(target);
-      if (load === undefined) return 0;
-      const reportAgeMs = clock.nowMs() - load.reportAtMs;
-      if (load.report === undefined || reportAgeMs > REPORT_VALID_MS) {
-        return load.inFlight;
-      }
-      const { running, waiting } = load.report;
-      const changeSinceReport = load.inFlight - load.inFlightAtReport;
-      return Math.max(load.inFlight, running + waiting + changeSinceReport);
+      return load === undefined
+        ? 0
+        : Math.max(getOwnEstimate(load), getPeerEstimate(load));
     },
     getShedShare(target) {
       const load = loads.get(target);
--- a/testing/experiment/main.ts
+++ b/testing/experiment/main.ts
@@ -8,7 +8,13 @@
 import * as Scenarios from "../model/scenarios.ts";
 
 const DEFAULT_SEED = 1;
-const POLICIES = ["product", "all-objects", "own-place", "random"] as const;
+const POLICIES = [
+  "product",
+  "own-reports",
+  "all-objects",
+  "own-place",
+  "random",
+] as const;
 const PLOT_WIDTH = 40;
 
 function formatShare(count: number, total: number): string {
@@ -21,7 +27,11 @@
     formatShare(count, requested)
   );
   const cacheMisses = String(outcome.cacheMisses).padStart(11);
-  return `${policy.padEnd(12)}${shares.join("")}${cacheMisses}`;
+  const { avoidableWaits, queueSpread, sheds, spread } = outcome;
+  const load = [spread.toFixed(2), queueSpread.toFixed(2), String(sheds)]
+    .map((text) => text.padStart(8)).join("");
+  const waits = formatShare(Math.round(avoidableWaits * 1e6), 1e6);
+  return `${policy.padEnd(12)}${shares.join("")}${cacheMisses}${load}${waits}`;
 }
 
 function formatPlot(outcome: FleetModel.Outcome): string {
@@ -35,7 +45,9 @@
 
 function playAllPolicies(scenario: FleetModel.Scenario, seed: number): void {
   console.log(`${scenario.name}: ${scenario.pattern} (seed ${seed})`);
-  console.log("policy       in time    late refused first runs");
+  console.log(
+    "policy       in time    late refused first runs  spread  queues   sheds avoidable",
+  );
   for (const policy of POLICIES) {
     const outcome = FleetModel.playScenario(scenario, policy, seed);
     console.log(formatRow(policy, outcome));
--- a/testing/model/fleet_model.ts
+++ b/testing/model/fleet_model.ts
@@ -13,6 +13,8 @@
 import * as CacheState from "../../src/gateway/cache_state.ts";
 import * as WorkingSet from "../../src/gateway/working_set.ts";
 import * as Warmup from "../../src/gateway/warmup.ts";
+import * as LoadExchange from "../../src/gateway/load_exchange.ts";
+import * as Mesh from "../../src/peer/mesh.ts";
 import * as Random from "../load/random.ts";
 import * as EventQueue from "./event_queue.ts";
 
@@ -20,6 +22,8 @@
 export type Policy =
   /** The decisions of the production modules. */
   | "product"
+  /** As `product`, but instances don't pass on load reports. */
+  | "own-reports"
   /** As `product`, but without working sets: overloaded targets serve all their affinity keys. */
   | "all-objects"
   /** Always the primary target, however long its queue is. */
@@ -39,9 +43,23 @@
   }[];
   readonly requestsPerS: number;
   readonly affinityKeysPerRegion: number;
+  /** Zipf exponent of the affinity keys' popularity; 0 (the default) when all are equally popular. */
+  readonly keySkew?: number;
   readonly durationMs: number;
   /** Factor by which `requestsPerS` is multiplied at a time. */
   readonly getRateFactor?: (atMs: number) => number;
+  /** Factor by which a region's share of the callers is multiplied at a time. */
+  readonly getRegionFactor?: (region: string, atMs: number) => number;
+  /** Targets that share their machine and are slower for a while. */
+  readonly slowTargets?: {
+    /** Share of the targets that are slow at any time, 0 to 1. */
+    readonly share: number;
+    readonly slowdown: number;
+    /** Interval after which other targets are slow, ms. */
+    readonly changeMs: number;
+  };
+  /** Requests that take several times as long, as a share of all, 0 to 1. */
+  readonly longWork?: { readonly share: number; readonly factor: number };
   /** Number of targets of a region that become unreachable at a time. */
   readonly loss?: {
     readonly region: string;
@@ -72,7 +90,14 @@
   readonly missServiceMs: number;
   readonly targetLatencyMs: number;
   readonly deadlineMs: number;
-  readonly cacheCapacity: number;
+  /** Affinity keys that a target caches; targets differ when it is a range. */
+  readonly cacheCapacity: number | readonly [min: number, max: number];
+  /** Requests that a target serves at the same time; it queues three for each. */
+  readonly slots: number;
+  /** Network round trip between two regions, ms. */
+  readonly remoteRoundTripMs: number;
+  /** Priority of the route. */
+  readonly priority: number;
 }
 
 const SMALL_SITE: SiteParameters = {
@@ -81,6 +106,9 @@
   targetLatencyMs: 400,
   deadlineMs: 2_500,
   cacheCapacity: 67,
+  slots: 9,
+  remoteRoundTripMs: 110,
+  priority: 1,
 };
 
 /** Requests that arrived in one second, by result. */
@@ -93,21 +121,42 @@
   rejected: number;
 }
 
+/** What instances told each other of the targets' loads. */
+export interface ExchangeUse {
+  /** Bytes of messages that the busiest instance sent per second, envelopes included. */
+  readonly maxBytesPerS: number;
+  /** Messages of the busiest instance per second. */
+  readonly maxMessagesPerS: number;
+  /** Entries that were not sent for lack of budget, per entry sent. */
+  readonly dropped: number;
+}
+
 /** Result of a run. */
 export interface Outcome {
   readonly seconds: readonly RequestCounts[];
   readonly cacheMisses: number;
+  /** Requests that targets shed because their queue was full. */
+  readonly sheds: number;
+  /** Arrivals at the busiest target divided by the mean of all targets. */
+  readonly spread: number;
+  /** Longest queue (requests running and waiting) divided by the mean, averaged over time. */
+  readonly queueSpread: number;
+  /** Share of the arrivals at targets that had to wait while another candidate had a free slot, 0 to 1. */
+  readonly avoidableWaits: number;
+  readonly exchange: ExchangeUse;
   readonly total: RequestCounts;
 }
 
-/** Requests that a target serves at the same time. */
-const SLOTS = 9;
-/** Requests that wait at a target before it sheds. */
-const QUEUE_CAPACITY = 27;
-const REMOTE_ROUND_TRIP_MS = 110;
+/** Requests that wait at a target for each slot before it sheds. */
+const QUEUED_PER_SLOT = 3;
 const LOCAL_ROUND_TRIP_MS = 2;
 /** Targets tried for a request before it counts as rejected. */
 const MAX_TARGETS = 2;
+const QUEUE_SAMPLE_MS = 100;
+/** One-way latency between the domains of a region. */
+const DOMAIN_LATENCY_MS = 1;
+/** Part of a message between instances that is not its parameters. */
+const ENVELOPE_BYTES = 55;
 const ROUTE = "r";
 
 interface ModelTarget {
@@ -117,6 +166,9 @@
   /** Cached affinity keys, the most recently served last. */
   readonly cachedKeys: Map<string, true>;
   isLost: boolean;
+  isSlow: boolean;
+  arrivals: number;
+  readonly cacheCapacity: number;
 }
 
 interface ModelRequest {
@@ -126,6 +178,8 @@
   readonly startedAtMs: number;
   readonly counts: RequestCounts;
   readonly triedIds: Set<string>;
+  /** Candidates of the last choice. */
+  candidateIds: readonly string[];
 }
 
 /** Plays a scenario under a policy. The same seed gives the same result. */
@@ -140,15 +194,21 @@
     targetLatencyMs,
     deadlineMs,
     cacheCapacity,
+    slots,
+    remoteRoundTripMs,
+    priority,
   } = {
     ...SMALL_SITE,
     ...scenario.site,
   };
+  const queueCapacity = slots * QUEUED_PER_SLOT;
   const random = Random.createRandom(seed);
   const events = EventQueue.createEventQueue();
   const clock = { nowMs: events.nowMs, wallMs: events.nowMs };
   const demand = new Map(scenario.regions.map(({ name }) => [name, 1]));
   const targets = scenario.regions.flatMap(createTargets);
+  let usableTargets = targets.map(({ knownTarget }) => knownTarget);
+  const targetSlots = targets.map(({ knownTarget }) => knownTarget.entry);
   const targetsById = new Map(
     targets.map((target) => [target.knownTarget.entry.id, target]),
   );
@@ -157,15 +217,23 @@
     () => ({ requested: 0, withinTarget: 0, late: 0, rejected: 0 }),
   );
   let cacheMisses = 0;
+  let sheds = 0;
+  let arrivals = 0;
+  let avoidableWaits = 0;
+  let queueSpreadSum = 0;
+  let queueSamples = 0;
+  /** Separate from `random`, so that scenarios without these events keep their sequence. */
+  const eventRandom = Random.createRandom(seed + 1_000);
   let epoch = 0;
 
   const startInstances = () =>
     scenario.regions.flatMap(({ name, instances: count }) =>
-      Array.from({ length: count }, () => createInstance(name))
+      Array.from({ length: count }, (_, index) => createInstance(name, index))
     );
   let instances = startInstances();
 
-  function createInstance(region: string) {
+  function createInstance(region: string, index: number) {
+    const instanceId = `${region} ${index}`;
     const loads = TargetLoad.createTargetLoads(clock);
     const timings = Timings.createTimings();
     const cacheState = CacheState.createCacheState(clock);
@@ -173,15 +241,13 @@
     const warmups = Warmup.createWarmups(clock);
     const placement = Placement.createPlacement({ origin: region, demand });
     const getRoundTripMs = (target: State.KnownTarget) =>
-      target.region === region ? LOCAL_ROUND_TRIP_MS : REMOTE_ROUND_TRIP_MS;
+      target.region === region ? LOCAL_ROUND_TRIP_MS : remoteRoundTripMs;
 
     function getCandidates(req: ModelRequest): readonly Choice.Candidate[] {
       const { homeRegion } = req;
-      const usable = targets.filter((target) => !target.isLost)
-        .map((target) => target.knownTarget)
-        .filter((target) =>
-          homeRegion === undefined || target.region === homeRegion
-        );
+      const usable = usableTargets.filter((target) =>
+        homeRegion === undefined || target.region === homeRegion
+      );
       const scope = homeRegion === undefined ? ROUTE : `${ROUTE} ${homeRegion}`;
       const ranked = placement.rank(scope, req.affinityKey, epoch, usable);
       return ranked.map((target, rank): Choice.Candidate => {
@@ -218,6 +284,7 @@
       };
       switch (policy) {
         case "product":
+        case "own-reports":
         case "all-objects":
           return Choice.chooseCandidate(candidates, profile);
         case "own-place":
@@ -247,12 +314,13 @@
       const profile: Choice.RequestProfile = {
         deadlineMs: deadlineMs - elapsedMs,
         targetLatencyMs: targetLatencyMs,
-        priority: 1,
+        priority,
         cacheHitMs: timings.getServiceMs(ROUTE, true, targetLatencyMs / 3),
         cacheMissMs: timings.getServiceMs(ROUTE, false, targetLatencyMs / 3),
         missCostMs: timings.getMissCostMs(ROUTE, targetLatencyMs / 3),
       };
       const candidates = getCandidates(req);
+      req.candidateIds = candidates.map(({ target }) => target.entry.id);
       const choice = chooseByPolicy(req, candidates, profile);
       const primary = candidates[0];
       if (primary?.rank === 0 && choice.kind !== "wait") {
@@ -261,7 +329,7 @@
         const isForPrimary = wasAdmitted
           ? choice.candidate === primary
           : !primary.isExcluded;
-        if (isForPrimary && policy === "product") {
+        if (isForPrimary && policy !== "all-objects") {
           workingSets.recordAdmission(id, wasAdmitted);
         }
       }
@@ -321,17 +389,19 @@
       const { id } = candidate.target.entry;
       const nowMs = events.nowMs();
       loads.end(id, isServed ? "answered" : "shed");
-      loads.recordReport(id, {
+      const report = {
         running: target.running,
         waiting: target.queue.length,
-        slots: SLOTS,
-      });
+        slots,
+      };
+      loads.recordReport(id, report);
+      if (policy === "product") exchange.recordReport(id, report);
       if (!isServed) {
         if (req.triedIds.size < MAX_TARGETS) return handleRequest(req);
         req.counts.rejected++;
         return;
       }
-      if (candidate.outstanding < SLOTS) {
+      if (candidate.outstanding < slots) {
         const wasHitExpected = candidate.cacheHitChance === 1;
         const serviceMs = nowMs - sentAtMs - roundTripMs;
         const wasFast = timings.recordResponse(
@@ -349,13 +419,62 @@
       else if (latencyMs <= deadlineMs) req.counts.late++;
     }
 
+    const exchange = LoadExchange.createLoadExchange({
+      loads,
+      getTargets: () => targetSlots,
+      getEpoch: () => 0,
+      getRecipients: () => getRecipients(region, index),
+      clock,
+    });
+    const use = { bytes: 0, messages: 0 };
+    function sendLoads(): void {
+      for (const { params, to } of exchange.createMessages()) {
+        use.messages++;
+        use.bytes += JSON.stringify(params).length + ENVELOPE_BYTES;
+        events.schedule(
+          DOMAIN_LATENCY_MS,
+          () =>
+            instances.find(({ id }) => id === to)?.exchange.receive(
+              instanceId,
+              params,
+            ),
+        );
+      }
+      events.schedule(LoadExchange.INTERVAL_MS, sendLoads);
+    }
+    if (policy === "product") {
+      events.schedule(eventRandom() * LoadExchange.INTERVAL_MS, sendLoads);
+    }
+
     scenario.regions.forEach(({ name }) =>
       timings.recordConnect(
         name,
-        name === region ? LOCAL_ROUND_TRIP_MS : REMOTE_ROUND_TRIP_MS,
+        name === region ? LOCAL_ROUND_TRIP_MS : remoteRoundTripMs,
       )
     );
-    return { region, handleRequest };
+    return { id: instanceId, region, exchange, use, handleRequest };
+  }
+
+  /** Peers to which an instance passes on load reports: two domains a region, three hubs each. */
+  function getRecipients(
+    region: string,
+    index: number,
+  ): LoadExchange.Recipients {
+    const count = scenario.regions.find(({ name }) => name === region)!
+      .instances;
+    const getIds = (indexes: readonly number[]) =>
+      indexes.filter((other) => other < count && other !== index)
+        .map((other) => `${region} ${other}`);
+    if (instances.length < Mesh.FULL_MESH_MEMBERS) {
+      const all = getIds(Array.from({ length: count }, (_, other) => other));
+      return { hubs: all, remote: [], isHub: false };
+    }
+    const parity = index % 2;
+    const hubIndexes = [parity, parity + 2, parity + 4];
+    const isHub = hubIndexes.includes(index);
+    return isHub
+      ? { hubs: getIds(hubIndexes), remote: getIds([index ^ 1]), isHub }
+      : { hubs: getIds([hubIndexes[index % 3]!]), remote: [], isHub };
   }
 
   function createTargets(region: Scenario["regions"][number]): ModelTarget[] {
@@ -366,7 +485,7 @@
           service: ROUTE,
           address: "",
           domain: region.name,
-          slots: SLOTS,
+          slots,
           isLeaving: false,
           coldLeftMs: 0,
           startedAtMs: 1,
@@ -378,6 +497,12 @@
       queue: [],
       cachedKeys: new Map(),
       isLost: false,
+      isSlow: false,
+      arrivals: 0,
+      cacheCapacity: typeof cacheCapacity === "number"
+        ? cacheCapacity
+        : cacheCapacity[0] +
+          (index * 7) % (cacheCapacity[1] - cacheCapacity[0] + 1),
     }));
   }
 
@@ -390,34 +515,102 @@
     const nowMs = events.nowMs();
     const isShed = shed !== undefined && nowMs >= shed.fromMs &&
       nowMs < shed.toMs && random() < shed.share;
-    const isFull = target.running >= SLOTS &&
-      target.queue.length >= QUEUE_CAPACITY;
+    const isFull = target.running >= slots &&
+      target.queue.length >= queueCapacity;
+    target.arrivals++;
+    arrivals++;
+    if (isFull) sheds++;
     if (target.isLost || isShed || isFull) return respond(false, target);
     const serve = () => {
       target.running++;
       const isCached = target.cachedKeys.has(req.affinityKey);
       if (!isCached) cacheMisses++;
-      events.schedule(isCached ? hitServiceMs : missServiceMs, () => {
+      events.schedule(getServiceMs(target, isCached), () => {
         target.running--;
         addToCache(target, req.affinityKey);
         respond(true, target);
         target.queue.shift()?.();
       });
     };
-    if (target.running < SLOTS) serve();
-    else target.queue.push(serve);
+    if (target.running < slots) return serve();
+    const hasAlternative = req.candidateIds.some((id) =>
+      targetsById.get(id)!.running < slots && !targetsById.get(id)!.isLost
+    );
+    if (hasAlternative) avoidableWaits++;
+    target.queue.push(serve);
+  }
+
+  function getServiceMs(target: ModelTarget, isCached: boolean): number {
+    const { longWork, slowTargets } = scenario;
+    let ms = isCached ? hitServiceMs : missServiceMs;
+    if (target.isSlow) ms *= slowTargets?.slowdown ?? 1;
+    if (longWork !== undefined && eventRandom() < longWork.share) {
+      ms *= longWork.factor;
+    }
+    return ms;
+  }
+
+  function changeSlowTargets(): void {
+    const { slowTargets } = scenario;
+    if (slowTargets === undefined) return;
+    for (const target of targets) {
+      target.isSlow = eventRandom() < slowTargets.share;
+    }
+    events.schedule(slowTargets.changeMs, changeSlowTargets);
+  }
+
+  function sampleQueues(): void {
+    const lengths = targets.map(({ queue, running }) => queue.length + running);
+    const sum = lengths.reduce((a, b) => a + b, 0);
+    if (sum > 0) {
+      queueSpreadSum += Math.max(...lengths) * lengths.length / sum;
+      queueSamples++;
+    }
+    events.schedule(QUEUE_SAMPLE_MS, sampleQueues);
   }
 
   function addToCache(target: ModelTarget, affinityKey: string): void {
     target.cachedKeys.delete(affinityKey);
     target.cachedKeys.set(affinityKey, true);
-    if (target.cachedKeys.size <= cacheCapacity) return;
+    if (target.cachedKeys.size <= target.cacheCapacity) return;
     for (const oldest of target.cachedKeys.keys()) {
       target.cachedKeys.delete(oldest);
       return;
     }
   }
 
+  /** Cumulative popularity of the affinity keys, up to 1. */
+  const popularity: number[] = [];
+  for (let i = 0; i < scenario.affinityKeysPerRegion; i++) {
+    const weight = (i + 1) ** -(scenario.keySkew ?? 0);
+    popularity.push((popularity[i - 1] ?? 0) + weight);
+  }
+
+  function chooseSkewedKey(point: number): number {
+    const goal = point * popularity[popularity.length - 1]!;
+    let low = 0;
+    let high = popularity.length - 1;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (popularity[middle]! < goal) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+
+  function chooseInstance() {
+    const { getRegionFactor } = scenario;
+    if (getRegionFactor === undefined) {
+      return instances[Math.floor(random() * instances.length)]!;
+    }
+    const weights = instances.map(({ region }) =>
+      getRegionFactor(region, events.nowMs())
+    );
+    let rest = random() * weights.reduce((a, b) => a + b, 0);
+    const index = weights.findIndex((weight) => (rest -= weight) <= 0);
+    return instances[Math.max(0, index)]!;
+  }
+
   function scheduleNextRequest(): void {
     const rateFactor = scenario.getRateFactor?.(events.nowMs()) ?? 1;
     const gapMs = -Math.log(1 - random()) * 1_000 /
@@ -425,13 +618,15 @@
     events.schedule(gapMs, () => {
       const nowMs = events.nowMs();
       if (nowMs >= scenario.durationMs) return;
-      const instance = instances[Math.floor(random() * instances.length)]!;
+      const instance = chooseInstance();
       const { homed } = scenario;
       const isHomed = homed !== undefined && random() < homed.share;
       const keyCount = isHomed
         ? homed.affinityKeys
         : scenario.affinityKeysPerRegion;
-      const keyIndex = Math.floor(random() * keyCount);
+      const keyIndex = isHomed || scenario.keySkew === undefined
+        ? Math.floor(random() * keyCount)
+        : chooseSkewedKey(random());
       const counts = seconds[Math.floor(nowMs / 1_000)]!;
       counts.requested++;
       instance.handleRequest({
@@ -440,11 +635,26 @@
         startedAtMs: nowMs,
         counts,
         triedIds: new Set(),
+        candidateIds: [],
       });
       scheduleNextRequest();
     });
   }
 
+  function getExchangeUse(): ExchangeUse {
+    const durationS = scenario.durationMs / 1_000;
+    const counts = instances.map(({ exchange }) => exchange.getCounts());
+    const dropped = counts.reduce((sum, count) => sum + count.dropped, 0);
+    const sent = counts.reduce((sum, count) => sum + count.sent, 0);
+    const maxOf = (values: readonly number[]) =>
+      Math.max(...values) / durationS;
+    return {
+      maxBytesPerS: maxOf(instances.map(({ use }) => use.bytes)),
+      maxMessagesPerS: maxOf(instances.map(({ use }) => use.messages)),
+      dropped: dropped / Math.max(1, sent),
+    };
+  }
+
   const { loss, restartAtMs } = scenario;
   if (restartAtMs !== undefined) {
     events.schedule(restartAtMs, () => instances = startInstances());
@@ -455,11 +665,25 @@
       targets.filter((target) => target.knownTarget.region === loss.region)
         .slice(0, loss.targets)
         .forEach((target) => target.isLost = true);
+      usableTargets = targets.filter(({ isLost }) => !isLost)
+        .map(({ knownTarget }) => knownTarget);
     });
   }
+  changeSlowTargets();
+  sampleQueues();
   scheduleNextRequest();
   events.runUntil(scenario.durationMs + deadlineMs);
-  return { seconds, cacheMisses, total: sumCounts(seconds) };
+  const busiest = Math.max(...targets.map((target) => target.arrivals));
+  return {
+    seconds,
+    cacheMisses,
+    sheds,
+    spread: busiest * targets.length / Math.max(1, arrivals),
+    queueSpread: queueSpreadSum / Math.max(1, queueSamples),
+    avoidableWaits: avoidableWaits / Math.max(1, arrivals),
+    exchange: getExchangeUse(),
+    total: sumCounts(seconds),
+  };
 }
 
 /** Adds up the counts of several seconds. */
--- a/testing/model/scenarios.ts
+++ b/testing/model/scenarios.ts
@@ -78,6 +78,60 @@
       cacheCapacity: 15,
     },
   },
+  "small-queues": {
+    name: "small-queues",
+    pattern:
+      "61 instances and 85 targets of 4 slots; an instance sends to one target every 7 s",
+    regions: [
+      { name: "lombardia", targets: 9, instances: 20 },
+      { name: "trentino", targets: 34, instances: 20 },
+      { name: "piemonte", targets: 42, instances: 21 },
+    ],
+    affinityKeysPerRegion: 538,
+    durationMs: 30_000,
+    requestsPerS: 744,
+    keySkew: 0.9,
+    site: {
+      hitServiceMs: 192,
+      missServiceMs: 637,
+      targetLatencyMs: 508,
+      deadlineMs: 3_046,
+      cacheCapacity: [10, 27],
+      slots: 4,
+      priority: 0,
+    },
+  },
+  "shared-machines": {
+    name: "shared-machines",
+    pattern:
+      "33 instances and 151 targets, of which 15% are 2.5 times slower, others every 600 ms; demand swings by region",
+    regions: [
+      { name: "uusimaa", targets: 15, instances: 11 },
+      { name: "pirkanmaa", targets: 62, instances: 11 },
+      { name: "pohjanmaa", targets: 74, instances: 11 },
+    ],
+    affinityKeysPerRegion: 956,
+    durationMs: 36_000,
+    requestsPerS: 865,
+    keySkew: 0.9,
+    getRegionFactor: (region, atMs) =>
+      1 + 0.55 * Math.sin(
+          2 * Math.PI *
+            (atMs / 36_000 + ["uusimaa", "pirkanmaa"].indexOf(region) / 3),
+        ),
+    slowTargets: { share: 0.15, slowdown: 2.5, changeMs: 600 },
+    longWork: { share: 0.03, factor: 7 },
+    site: {
+      hitServiceMs: 330,
+      missServiceMs: 1_099,
+      targetLatencyMs: 1_048,
+      deadlineMs: 6_287,
+      cacheCapacity: [10, 27],
+      slots: 6,
+      remoteRoundTripMs: 70,
+      priority: 0,
+    },
+  },
   homed: {
     ...COMMON,
     name: "homed",
