--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -98,6 +98,7 @@
     return reach !== undefined && (reach.isStranded() || reach.isLimited());
   }
 
+  const loads = TargetLoad.createTargetLoads(clock);
   const control = await Control.startControl({
     settings,
     store,
@@ -105,6 +106,7 @@
     watchedPrefixes: deps.watchedPrefixes,
     getMemberState: () => memberState,
     isStranded,
+    loads,
     supervisor,
     clock,
     log,
@@ -154,7 +156,6 @@
     clock,
     (target, isLimited) => log.info("target-limited", { target, isLimited }),
   );
-  const loads = TargetLoad.createTargetLoads(clock);
   const statements = TargetStatements.createTargetStatements(clock, log);
   const timings = Timings.createTimings();
   const splits = Split.createSplits(instance.id);
@@ -232,6 +233,7 @@
     workingSets,
     warmups: Warmup.createWarmups(clock),
     loads,
+    loadExchange: control.loadExchange,
     targetLimits,
     statements,
     coldStarts,
