Document the order of poison reports, and test pulls, malformed stamps and bounds

Malformed stamps count as none and are logged once per instance. Tests: pulls with clears, losses without stamps, bounded clears, the result of statements in any order, fleets without collectors, two peers of an earlier build, and the counters in the gateway's metrics.

--- a/src/retry/poison.ts
+++ b/src/retry/poison.ts
@@ -85,6 +85,7 @@
   /** Monotonic ms of the last response at this instance by fingerprint, oldest first. */
   const lastResponses = new Map<string, number>();
   let hasPulled = false;
+  let hasLoggedStamps = false;
 
   function count(name: string): void {
     opts.metrics?.count(name);
@@ -319,9 +320,13 @@
     }
   }
 
-  peers?.handle(METHOD, (params) => {
+  peers?.handle(METHOD, (params, peer) => {
     const message = Reports.tryParse(params);
     if (message === undefined) throw new TypeError("malformed poison.report");
+    if (!hasLoggedStamps && Reports.hasMalformedStamps(params, message)) {
+      hasLoggedStamps = true;
+      log.warn("poison-stamps-malformed", { peer });
+    }
     if (message.kind === "pull") return getReports(message.withClears === true);
     handleMessage(message);
     return true;
--- a/src/retry/poison_evidence.ts
+++ b/src/retry/poison_evidence.ts
@@ -22,7 +22,7 @@
 /** Time after the last connection loss in which a suspicion is kept; covers callers that retry every few minutes. Clears are kept as long, so that no suspicion outlives its clear. */
 const TTL_MS = 10 * 60_000;
 const TARGETS_TO_BLOCK = 2;
-/** Bound of suspicions and of clears; they use about 3 MB and 1.5 MB at this number. */
+/** Bound of suspicions and of clears; they use 7.7 MB (with two targets each) and 1.8 MB at this number. */
 const MAX_FINGERPRINTS = 10_000;
 /** Maximum number of targets kept per suspicion; more targets add no information. */
 const MAX_SUSPECTED_TARGETS = 4;
--- a/src/retry/poison_reports.ts
+++ b/src/retry/poison_reports.ts
@@ -1,5 +1,6 @@
 /** Messages of the method `poison.report` between instances, and their validation. */
 import * as Crypto from "node:crypto";
+import * as Debug from "../debug.ts";
 import * as Wire from "../peer/wire.ts";
 import type * as Types from "../types.ts";
 import type * as Evidence from "./poison_evidence.ts";
@@ -177,3 +178,18 @@
   if (kind !== "broke") return undefined;
   return tryParseConnectionLoss(fingerprint, fields);
 }
+
+/** True if a message has stamps that are malformed, and so were not parsed. */
+export function hasMalformedStamps(value: unknown, parsed: Message): boolean {
+  const fields = value as Readonly<Record<string, unknown>>;
+  switch (parsed.kind) {
+    case "broke":
+      return fields["stamps"] !== undefined && parsed.stamps === undefined;
+    case "answered":
+      return fields["stamp"] !== undefined && parsed.stamp === undefined;
+    case "pull":
+      return false;
+    default:
+      return Debug.assertNever(parsed);
+  }
+}
--- a/tests/gateway/poison_test.ts
+++ b/tests/gateway/poison_test.ts
@@ -7,6 +7,7 @@
 /** Two targets cause the block; a third may get the request while the block spreads. */
 const MAX_CRASHED_TARGETS = 3;
 
+const METRICS_PORT = 7_221;
 const DIRECTORY_QUERY =
   "/anvilroute/resolve?name=shop.example&region=north&zone=north-a";
 
@@ -43,6 +44,17 @@
     return fleet;
   }
 
+  /** Checks that the metrics of each instance show the block. */
+  async function expectBlockCounted(
+    instances: readonly { readonly address: string }[],
+  ): Promise<void> {
+    for (const { address } of instances) {
+      const metricsAddress = address.replace(/:\d+$/, `:${METRICS_PORT}`);
+      const { body } = await Rig.send(metricsAddress, "/metrics");
+      expect(body).toMatch(/^anvilroute_poison_blocked_total [1-9]/m);
+    }
+  }
+
   describe("as they crash", () => {
     /** Sends the order once to each instance in turn and replaces the targets that it crashes; returns their number. */
     async function countCrashes(path: string): Promise<number> {
@@ -68,6 +80,7 @@
             ),
         );
       }
+      await expectBlockCounted(fleet.instances);
       return fleet.targets.filter((_, index) => hasCrashed(index)).length;
     }
 
--- a/tests/poison_loop_test.ts
+++ b/tests/poison_loop_test.ts
@@ -64,6 +64,7 @@
   count: number,
   seed: number,
   isEarlier: (index: number) => boolean = () => false,
+  hasCollectors = true,
 ) {
   const random = createRandom(seed);
   const members = Array.from({ length: count }, (_, i) => ({
@@ -131,16 +132,17 @@
       onHeartbeat: () => {},
     } as unknown as Contracts.PeerNet;
     if (isEarlier(index)) return createEarlierBuild(peers);
+    const route: Poison.ReportRoute = {
+      getCollector: (fingerprint) => Rendezvous.rank(fingerprint, hubs)[0]!,
+      getRemoteDomainPeers: (fingerprint) =>
+        [...remote.values()].map((ids) =>
+          Rendezvous.rank(fingerprint, ids)[0]!
+        ),
+    };
     return Poison.createPoison({
       clock: { nowMs: () => now, wallMs: () => now + skewMs.get(self)! },
       peers,
-      route: {
-        getCollector: (fingerprint) => Rendezvous.rank(fingerprint, hubs)[0]!,
-        getRemoteDomainPeers: (fingerprint) =>
-          [...remote.values()].map((ids) =>
-            Rendezvous.rank(fingerprint, ids)[0]!
-          ),
-      },
+      ...(hasCollectors ? { route } : {}),
       log: Log.createLogger("error"),
       metrics: { count: (name) => counters[name] = (counters[name] ?? 0) + 1 },
     });
@@ -206,6 +208,16 @@
     },
   );
 
+  // The daemon's instances have no collectors and send every report to all peers.
+  it("a block and a clear sent at the same moment end without collectors", () => {
+    for (const seed of SEEDS) {
+      const fleet = createFleet(33, seed, undefined, false);
+      blockThenClearAndBlock(fleet);
+      expect(fleet.getMessages(), `seed ${seed}`)
+        .toBeLessThanOrEqual(4 * fleet.links);
+    }
+  });
+
   /** Blocks the request everywhere, then lets one instance lose two connections before or after another reports a response, and neither hear of the other. */
   function passEachOther(seed: number, lossLeadMs: number) {
     const fleet = createFleet(33, seed);
@@ -328,6 +340,22 @@
     }
   });
 
+  // Guards against a loop between two earlier instances that the others repeat each time their hold has passed.
+  it("a block and a clear sent at the same moment leave no instance of this build blocked if two peers run the earlier one", () => {
+    const isEarlier = (index: number) => index === 8 || index === 14;
+    for (const seed of SEEDS) {
+      const fleet = createFleet(33, seed, isEarlier);
+      blockThenClearAndBlock(fleet, 1_000);
+      fleet.run(20_000);
+      expect(fleet.getMessages(), `seed ${seed}`)
+        .toBeLessThanOrEqual(6 * fleet.links);
+      const blocked = fleet.instances.filter((instance, index) =>
+        !isEarlier(index) && instance.isBlocked(F)
+      );
+      expect(blocked, `seed ${seed}`).toHaveLength(0);
+    }
+  });
+
   it("instances of this build do not multiply what circulates between those of the earlier build", () => {
     for (const seed of SEEDS.slice(0, 2)) {
       const fleet = createFleet(33, seed, isEverySecond);
--- a/tests/poison_test.ts
+++ b/tests/poison_test.ts
@@ -5,16 +5,16 @@
 import * as Log from "../src/log.ts";
 import * as Rendezvous from "../src/rendezvous.ts";
 import * as Poison from "../src/retry/poison.ts";
+import * as Evidence from "../src/retry/poison_evidence.ts";
 import * as RetryBudget from "../src/retry/retry_budget.ts";
 import type * as Types from "../src/types.ts";
 
 const MINUTE_MS = 60_000;
 
 /** Creates instances that deliver messages immediately, with one clock that the test advances. */
-function createFleet(size: number) {
+function createFleet(size: number, log = Log.createLogger("error")) {
   let now = 1_000;
   const clock = { nowMs: () => now, wallMs: () => now };
-  const log = Log.createLogger("error");
   const handlers = new Map<string, Contracts.RpcHandler>();
   const heartbeats = new Map<string, (heartbeat: Types.Heartbeat) => void>();
   const sent: unknown[] = [];
@@ -186,6 +186,142 @@
   });
 });
 
+describe("order of reports about a poison request", () => {
+  const block = {
+    kind: "broke",
+    fingerprint: "x",
+    targets: ["t1", "t2"],
+    blockMs: 300_000,
+    stamps: [900, 900],
+    unexplainedStamp: 900,
+  };
+
+  // Guards against an instance that starts between a clear and the block that it cleared.
+  it("an instance that pulls reports learns of clears, so that an older block has no effect", async () => {
+    const fleet = createFleet(1);
+    fleet.handle("i0", block);
+    fleet.instances[0]!.reportResponse("x");
+    const started = fleet.start("i1");
+    fleet.instances[0]!.reportConnectionLoss("y", "t1");
+    fleet.instances[0]!.reportConnectionLoss("y", "t2");
+    const startedLater = fleet.start("i2");
+    fleet.receiveHeartbeat("i2", "i0");
+    await expect.poll(() => startedLater.isBlocked("y")).toBe(true);
+    fleet.handle("i2", block);
+    expect(startedLater.isBlocked("x")).toBe(false);
+    expect(started.isBlocked("x")).toBe(false);
+  });
+
+  // Guards against an instance of an earlier build, which counts clears in the response as malformed.
+  it("an instance that does not ask for clears gets none", () => {
+    const fleet = createFleet(1);
+    fleet.handle("i0", block);
+    fleet.instances[0]!.reportResponse("x");
+    expect(fleet.handle("i0", { kind: "pull" })).toEqual([]);
+    expect(fleet.handle("i0", { kind: "pull", withClears: true })).toEqual([
+      expect.objectContaining({ kind: "answered", fingerprint: "x" }),
+    ]);
+  });
+
+  it.each([
+    [[900]],
+    [[900, -1]],
+    [[900, 0.5]],
+    [[900, "900"]],
+    [[900, 2 ** 60]],
+    [900],
+    [null],
+  ])("malformed stamps %j count as none, and the report is kept", (stamps) => {
+    const { poison, handle } = createSingleInstance();
+    handle("i0", { ...block, stamps });
+    expect(poison.isBlocked("x")).toBe(true);
+    for (const stamp of [-1, 2 ** 60, "900", null]) {
+      handle("i0", { kind: "answered", fingerprint: "x", stamp });
+      expect(poison.isBlocked("x")).toBe(false);
+    }
+  });
+
+  it("malformed stamps are logged once", () => {
+    const lines: string[] = [];
+    const fleet = createFleet(
+      1,
+      Log.createLogger("warn", {}, (text) => lines.push(text)),
+    );
+    for (let i = 0; i < 3; i++) {
+      fleet.handle("i0", { ...block, fingerprint: `x${i}`, stamps: [-1, -1] });
+    }
+    const logged = lines.join("").match(/event=poison-stamps-malformed/g);
+    expect(logged).toHaveLength(1);
+  });
+
+  it("losses without stamps are ignored for 2 s after a clear, as they may be older", () => {
+    const { poison, handle, advance } = createSingleInstance();
+    const { stamps: _, unexplainedStamp: __, ...unordered } = block;
+    handle("i0", unordered);
+    poison.reportResponse("x");
+    handle("i0", unordered);
+    expect(poison.isBlocked("x")).toBe(false);
+    advance(2_001);
+    handle("i0", unordered);
+    expect(poison.isBlocked("x")).toBe(true);
+  });
+
+  // Guards against memory that grows with each fingerprint that was ever cleared.
+  it("the clears that are kept are bounded in number and time", () => {
+    let now = 1_000;
+    const evidence = Evidence.createEvidence({
+      nowMs: () => now,
+      wallMs: () => now,
+    });
+    for (let i = 0; i < 12_000; i++) evidence.addClear(`f${i}`, now, true);
+    expect(evidence.getClears().size).toBe(10_000);
+    now += 11 * MINUTE_MS;
+    evidence.addClear("last", now, true);
+    expect(evidence.getClears().size).toBe(1);
+  });
+
+  // Guards against a result that depends on the way that messages take.
+  it("the same statements leave the same losses in force, in any order and however often they arrive", () => {
+    const statement = FastCheck.record({
+      isClear: FastCheck.boolean(),
+      target: FastCheck.constantFrom("t1", "t2", "t3"),
+      stamp: FastCheck.integer({ min: 1, max: 20 }),
+      isExplained: FastCheck.boolean(),
+    });
+    const clock = { nowMs: () => 0, wallMs: () => 0 };
+    FastCheck.assert(
+      FastCheck.property(
+        FastCheck.array(statement, { maxLength: 8 }).chain((all) =>
+          FastCheck.tuple(
+            FastCheck.constant(all),
+            FastCheck.shuffledSubarray([...all, ...all], {
+              minLength: 2 * all.length,
+            }),
+          )
+        ),
+        (orders) => {
+          const results = orders.map((statements) => {
+            const evidence = Evidence.createEvidence(clock);
+            for (const { isClear, target, stamp, isExplained } of statements) {
+              const targets = new Map([[target, stamp]]);
+              const unexplainedStamp = isExplained ? 0 : stamp;
+              if (isClear) evidence.addClear("x", stamp, true);
+              else evidence.addLosses("x", { targets, unexplainedStamp }, 1);
+            }
+            const suspicion = evidence.getSuspicion("x");
+            return {
+              targets: new Map(suspicion?.targets),
+              unexplainedStamp: suspicion?.unexplainedStamp,
+              isBlocked: evidence.isBlocked("x"),
+            };
+          });
+          expect(results[1]).toEqual(results[0]);
+        },
+      ),
+    );
+  });
+});
+
 describe("poison requests beside instances of an earlier build", () => {
   /** Earlier builds name a request by its fields; both kinds of instances forward the names of the other. */
   const NAMES = [
