Wait longer for items after a pull that timed out

Cause: a pull has a timeout of 800 ms and was repeated with each status message. A list that takes longer over a slow link (700 KB at 7 Mbit/s) was queued again by the peer each time and never received.

Change: the timeout doubles after each pull that timed out, up to 12.8 s. A test with a transfer of 3 s fails before the change and succeeds with the third pull.

--- a/src/gateway/item_sync.ts
+++ b/src/gateway/item_sync.ts
@@ -19,6 +19,12 @@
 const PUSH_METHOD = "gateway.news";
 const PULL_METHOD = "gateway.items";
 const PULL_TIMEOUT_MS = 800;
+/**
+ * Upper bound of the timeout, which doubles after each pull that timed out. The peer
+ * has queued its response by then, so that repeating the pull with the same timeout
+ * over a slow link would queue the items again and again and never receive them.
+ */
+const MAX_PULL_TIMEOUT_MS = 12_800;
 /**
  * Readers receive changes through their own watches at slightly different times,
  * and the other instances receive them by push. An instance that is behind for
@@ -70,6 +76,7 @@
   let peerAhead: PeerAhead | undefined;
   let nextHeldPullAtMs = -Infinity;
   let isPulling = false;
+  let pullTimeoutMs = PULL_TIMEOUT_MS;
   let pulls = 0;
   let received = 0;
 
@@ -87,9 +94,14 @@
       peer,
       PULL_METHOD,
       { after },
-      PULL_TIMEOUT_MS,
+      pullTimeoutMs,
     );
     isPulling = false;
+    const isTimeout = response.isErr() &&
+      response.error.code.name === "peer-timeout";
+    pullTimeoutMs = isTimeout
+      ? Math.min(pullTimeoutMs * 2, MAX_PULL_TIMEOUT_MS)
+      : PULL_TIMEOUT_MS;
     const batch = response.isOk() ? tryReadBatch(response.value) : undefined;
     if (batch === undefined) return;
     if (batch.restore !== undefined) items.recordRestore(batch.restore);
--- a/tests/gateway/item_sync_test.ts
+++ b/tests/gateway/item_sync_test.ts
@@ -1,7 +1,9 @@
+import { Ok } from "ts-results-es";
 import { describe, expect, it } from "vitest";
 import * as Items from "../../src/gateway/items.ts";
 import * as ItemSync from "../../src/gateway/item_sync.ts";
 import * as Log from "../../src/log.ts";
+import * as ResultCodes from "../../src/result_codes.ts";
 import * as GatewayNet from "../../testing/fakes/gateway_net.ts";
 import * as ManualTime from "../../testing/fakes/manual_time.ts";
 
@@ -93,3 +95,49 @@
     expect(get("local-1").items.getRevisions()).toEqual([2]);
   });
 });
+
+describe("item sync over a slow link", () => {
+  // Guards against a list that takes longer than the timeout of a pull, and is
+  // therefore pulled again and again, queued each time and never received.
+  it("waits longer after a pull that timed out, and then receives the items", async () => {
+    const clock = ManualTime.createTime();
+    const items = Items.createItems(clock, ["a/"]);
+    const timeouts: number[] = [];
+    const transferMs = 3_000;
+    const list = [{ key: "a/1", revision: 5, value: "v" }];
+    const itemSync = ItemSync.createItemSync({
+      peers: {
+        ...GatewayNet.createGatewayNet().createPeers("self"),
+        async call<T>(
+          _id: string,
+          _method: string,
+          _params: unknown,
+          ms: number,
+        ) {
+          timeouts.push(ms);
+          await clock.sleep(Math.min(ms, transferMs));
+          if (ms < transferMs) return ResultCodes.fail("peerTimeout", "slow");
+          return Ok({ items: list, isAll: true, revisions: [5] } as T);
+        },
+      },
+      items,
+      feed: {
+        handlePeerItems: (received) => items.apply(received),
+        handleSuperseding: () => {},
+      },
+      restoreGuard: { getHeldCount: () => 0, getSuperseding: () => [] },
+      state: { getEntryGraceMs: () => 0 },
+      prefixes: ["a/"],
+      getDomainPeers: () => ["peer"],
+      getReaders: () => [],
+      clock,
+      log: Log.createLogger("error", {}, () => {}),
+    });
+    for (let ms = 0; ms < 10_000; ms += 250) {
+      itemSync.recordPeerRevisions("peer", [5]);
+      await clock.advance(250);
+    }
+    expect(items.getRevisions()).toEqual([5]);
+    expect(timeouts).toEqual([800, 1_600, 3_200]);
+  });
+});
