--- a/src/peer/drops.ts
+++ b/src/peer/drops.ts
@@ -2,7 +2,6 @@
 import type * as Clock from "../clock.ts";
 import * as Log from "../log.ts";
 import type * as Types from "../types.ts";
-import type * as Net from "./net.ts";
 import type * as SendBudget from "./send_budget.ts";
 
 /** Shortest time in ms between two log lines with the same peer and reason. */
@@ -19,6 +18,17 @@
   readonly bytes: number;
 }
 
+/** Figures of the budget for messages to peers. */
+export interface SendUsage {
+  /** Bytes that wait for all peers. */
+  readonly queuedBytes: number;
+  /** Connections closed, as too much waited for their peers. */
+  readonly closedConnections: number;
+  /** Droppable messages that were dropped, by reason. */
+  readonly dropped: Readonly<Record<SendBudget.DropReason, number>>;
+  readonly droppedBytes: number;
+}
+
 /** The messages dropped since the start. */
 export interface Drops {
   record(drop: Drop): void;
@@ -60,7 +70,7 @@
 
 /** Returns the figures under the names of their metrics. */
 export function formatUsage(
-  usage: Net.SendUsage,
+  usage: SendUsage,
 ): Readonly<Record<string, number>> {
   return {
     peerBytesQueued: usage.queuedBytes,
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -65,22 +65,11 @@
   /** Messages discarded since the start, because they were malformed or too long to send. */
   getDiscardedCount(): number;
   /** What waits for peers, and what was dropped and closed since the start because of that. */
-  getSendUsage(): SendUsage;
+  getSendUsage(): Drops.SendUsage;
   /** Bytes of all peer connections since the process started. */
   getBytes(): { readonly received: number; readonly sent: number };
 }
 
-/** Figures of the budget for messages to peers. */
-export interface SendUsage {
-  /** Bytes that wait for all peers. */
-  readonly queuedBytes: number;
-  /** Connections closed, as too much waited for their peers. */
-  readonly closedConnections: number;
-  /** Droppable messages that were dropped, by reason. */
-  readonly dropped: Readonly<Record<SendBudget.DropReason, number>>;
-  readonly droppedBytes: number;
-}
-
 /** Selects, among all members without this instance, those to connect to. */
 export type SelectPeers = (
   members: readonly Mesh.MeshMember[],
