Name instances with wide links to callers of downloads

Responses of image-pulls are 90 kB on average and up to 540 kB; the latter take 617 ms on a link of 7 Mbit/s, and at 2.8 times the usual demand that link is saturated, with the small responses behind them. Callers pick an address of the directory at random, so n named instances carry n times the narrowest link.

Change: while the configuration has a route of kind 'download' and all usable instances of a region name their link (self.limits.linkMbps, read nowhere so far), the directory leaves out the narrowest as long as that raises n times the narrowest link. Half of the region, half of each domain and two of each stay. linkMbps is an optional field of heartbeats, links one of domain reports; builds without them are named as before. The gauge directoryNamed shows the result.

--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -224,6 +224,9 @@
       callerAddress: settings.listen.caller,
       peerAddress: settings.listen.peer,
       isStranded: opts.isStranded(),
+      ...(instance.linkMbps === undefined
+        ? {}
+        : { linkMbps: instance.linkMbps }),
     };
   }
 
--- a/src/gateway/domain_view.ts
+++ b/src/gateway/domain_view.ts
@@ -21,6 +21,8 @@
   readonly stranded: readonly Types.InstanceId[];
   /** Instances that are unresponsive, but may still spend their share of a limit. */
   readonly unresponsive: readonly Types.InstanceId[];
+  /** Links of the live instances whose settings name them, Mbit/s. */
+  readonly links?: Readonly<Record<Types.InstanceId, number>>;
 }
 
 /** A live instance that a peer reported. */
@@ -29,6 +31,8 @@
   readonly callerAddress: Types.Address;
   /** True while it reaches no target. */
   readonly isStranded: boolean;
+  /** Capacity of its link, Mbit/s; undefined when it is unknown. */
+  readonly linkMbps?: number | undefined;
 }
 
 /** The latest reports of connected peers. */
@@ -70,8 +74,10 @@
     getLive() {
       const addresses = new Map<Types.InstanceId, Types.Address>();
       const strandedIds = new Set<Types.InstanceId>();
+      const links = new Map<Types.InstanceId, number>();
       const reports = getReports(PeerMembers.UNREACHABLE_AFTER_MS);
-      for (const { live, stranded } of reports) {
+      for (const { links: reported = {}, live, stranded } of reports) {
+        for (const [id, mbps] of Object.entries(reported)) links.set(id, mbps);
         for (const [id, address] of Object.entries(live)) {
           if (id !== self) addresses.set(id, address);
         }
@@ -81,6 +87,7 @@
         id,
         callerAddress,
         isStranded: strandedIds.has(id),
+        linkMbps: links.get(id),
       }));
     },
     getMembers() {
@@ -111,5 +118,17 @@
   }
   const isValid = [...Object.values(live), ...stranded, ...unresponsive]
     .every((value) => typeof value === "string");
-  return isValid ? { live, stranded, unresponsive } as DomainReport : undefined;
+  if (!isValid) return undefined;
+  const links = readLinks(raw["links"]);
+  return { live, stranded, unresponsive, links } as DomainReport;
+}
+
+/** Reads the links that are positive numbers; an earlier version reports none. */
+function readLinks(raw: unknown): Readonly<Record<Types.InstanceId, number>> {
+  const entries = Object.entries(Json.isObject(raw) ? raw : {});
+  return Object.fromEntries(
+    entries.filter(([, mbps]) =>
+      typeof mbps === "number" && Number.isFinite(mbps) && mbps > 0
+    ),
+  ) as Readonly<Record<Types.InstanceId, number>>;
 }
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -39,6 +39,8 @@
   readonly dialect: DirectoryDialect;
   /** Live instances, this one included. */
   readonly getInstances: () => readonly Directory.DirectoryInstance[];
+  /** True when the configuration has a route with long responses. */
+  readonly hasDownloads: () => boolean;
   readonly getFleetCount: () => number;
   readonly getMemberState: () => Types.MemberState;
   /** Longest time for which callers may cache a directory response, ms. */
@@ -52,7 +54,12 @@
       if (query === undefined) return Servers.sendJson(res, 404, {});
       const { domain, region } = query;
       const instances = opts.getInstances();
-      const addresses = Directory.chooseAddresses(instances, region, domain);
+      const addresses = Directory.chooseAddresses(
+        instances,
+        region,
+        domain,
+        opts.hasDownloads(),
+      );
       if (addresses.length === 0) return Servers.sendJson(res, 503, {});
       const isLarge = opts.getFleetCount() > LARGE_FLEET_INSTANCES;
       const ttlS = Math.min(
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -158,10 +158,14 @@
     if (opts.getMemberState() === "live") {
       addresses.push([self, opts.callerAddress]);
     }
+    const links = [...live, { id: self, linkMbps: instance.linkMbps }]
+      .filter(({ linkMbps }) => linkMbps !== undefined)
+      .map(({ id, linkMbps }) => [id, linkMbps]);
     return {
       live: Object.fromEntries(addresses),
       stranded,
       unresponsive: unresponsive.map(({ heartbeat }) => heartbeat.id),
+      ...(links.length === 0 ? {} : { links: Object.fromEntries(links) }),
     };
   });
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,7 +11,7 @@
 import * as Connections from "./connections.ts";
 import type * as Contracts from "./contracts.ts";
 import * as Control from "./control.ts";
-import type * as Directory from "./directory.ts";
+import * as Directory from "./directory.ts";
 import * as Endpoints from "./endpoints.ts";
 import * as Forwarder from "./forwarder.ts";
 import * as Intake from "./intake.ts";
@@ -265,12 +265,20 @@
   const forwarder = Forwarder.createForwarder(forwarderDeps, responder);
   const intake = Intake.createIntake(forwarderDeps, forwarder, responder);
 
+  const hasDownloads = () => state.getConfig()?.hasDownloads ?? false;
+
   /** Logs the load that this instance puts on the store, its peers and targets, in addition to requests. */
   function logUsage(): void {
     const { opened } = connections.getCounts();
     const usage = {
       ...control.getUsage(),
       targetConnections: opened,
+      directoryNamed: Directory.chooseAddresses(
+        getDirectoryInstances(),
+        instance.region,
+        instance.domain,
+        hasDownloads(),
+      ).length,
       responseBytes: responseMemory.getBytes(),
       bodyBytes: bodyMemory.getBytes(),
     };
@@ -289,6 +297,7 @@
   const endpoints = Endpoints.createEndpoints({
     dialect: deps.directory,
     getInstances: getDirectoryInstances,
+    hasDownloads,
     getFleetCount: control.getFleetCount,
     getMemberState: () => memberState,
     maxTtlMs: settings.timing.maxDirectoryTtlMs,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -11,6 +11,8 @@
     readonly capacity: number;
     /** Memory that the process may use, bytes. */
     readonly memoryBytes: number;
+    /** Capacity of the instance's own link, Mbit/s; undefined when the settings don't name it. */
+    readonly linkMbps?: number | undefined;
   };
   readonly listen: {
     readonly caller: Types.Address;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -81,6 +81,8 @@
   readonly keys: ReadonlyMap<string, AccountSpec>;
   /** Routes of each host, longest path prefix first. */
   readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
+  /** True when a route's responses may be long. */
+  readonly hasDownloads: boolean;
   readonly limits: CallerLimits;
 }
 
--- a/src/peer/heartbeat.ts
+++ b/src/peer/heartbeat.ts
@@ -83,9 +83,11 @@
     [isStoreFailing, isStranded, isTableSettled].every(isBoolean) &&
     Array.isArray(shards) && shards.every(isNonNegative);
   if (!isValid) return undefined;
+  const { linkMbps, ...fields } = value;
   // The cast is safe, as every field was checked above.
   return {
-    ...value,
+    ...fields,
+    ...(isPositive(linkMbps) ? { linkMbps } : {}),
     capacity,
     isStoreFailing,
     isStranded,
@@ -105,6 +107,10 @@
   return typeof value === "number" && Number.isFinite(value) && value >= 0;
 }
 
+function isPositive(value: unknown): boolean {
+  return isNonNegative(value) && value !== 0;
+}
+
 /** Fields that change with most heartbeats and have their own positions in the parameters. */
 const FREQUENT_FIELDS: ReadonlySet<string> = new Set(
   ["storeSeenMsAgo", "relayedStoreSeenMsAgo", "load"] satisfies readonly (
--- a/src/types.ts
+++ b/src/types.ts
@@ -134,6 +134,8 @@
   readonly peerAddress: Address;
   /** True while the sender reaches no target, or can open no connection to one. */
   readonly isStranded: boolean;
+  /** Capacity of the sender's link, Mbit/s; undefined when it is unknown. */
+  readonly linkMbps?: number;
 }
 
 /** A peer, as described by its last heartbeat that this instance received. */
--- a/testing/fakes/gateway_data.ts
+++ b/testing/fakes/gateway_data.ts
@@ -61,6 +61,7 @@
       ),
     ),
     routesByHost: Routes.indexRoutes(routes),
+    hasDownloads: false,
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 100_000,
--- a/tests/gateway/topology_test.ts
+++ b/tests/gateway/topology_test.ts
@@ -138,6 +138,21 @@
     expect(view.getMembers()).toEqual([]);
   });
 
+  // Guards against a report that is dropped for its links, which older builds don't send.
+  it("reads links, and ignores malformed ones", () => {
+    const { view } = create();
+    const live = { a1: ":1", a2: ":2", a3: ":3" };
+    const base = { live, stranded: [], unresponsive: [] };
+    const links = { a1: 40, a2: -1, a3: "7" };
+    view.recordReport("hub", DomainView.tryReadReport({ ...base, links })!);
+    expect(view.getLive().map(({ linkMbps }) => linkMbps))
+      .toEqual([40, undefined, undefined]);
+    for (const raw of [undefined, 7, "x", [], null]) {
+      const report = DomainView.tryReadReport({ ...base, links: raw });
+      expect(report?.live).toEqual(live);
+    }
+  });
+
   it("ignores malformed reports", () => {
     for (
       const raw of [undefined, [], {
--- a/tests/peer_wire_test.ts
+++ b/tests/peer_wire_test.ts
@@ -79,6 +79,18 @@
     expect(Heartbeat.tryReadHeartbeat(malformed)).toBeUndefined();
   });
 
+  // Guards against a heartbeat that is dropped for its link, which older builds don't send.
+  it("reads a link, and ignores a malformed one", () => {
+    const heartbeat = Helpers.createHeartbeat("b", "d");
+    expect(Heartbeat.tryReadHeartbeat(heartbeat)?.linkMbps).toBeUndefined();
+    const linked = { ...heartbeat, linkMbps: 7.5 };
+    expect(Heartbeat.tryReadHeartbeat(linked)).toEqual(linked);
+    for (const linkMbps of [0, -1, "7", null, Infinity, NaN]) {
+      expect(Heartbeat.tryReadHeartbeat({ ...heartbeat, linkMbps }))
+        .toEqual(heartbeat);
+    }
+  });
+
   it("does not underestimate the age of a heartbeat that is read late or sent by a skewed clock", () => {
     const remote = { id: "b", incarnation: "b-run1" };
     const localCodec = Heartbeat.createCodec(0, remote);
--- a/tests/platform/adapter_test.ts
+++ b/tests/platform/adapter_test.ts
@@ -79,6 +79,22 @@
     expect(decoded.limits.retryRatio).toBe(0.2);
   });
 
+  // Guards against a process that doesn't start, or leaves the directory, for a faulty figure.
+  it.each([
+    [7.5, 7.5],
+    [undefined, undefined],
+    [0, undefined],
+    [-7, undefined],
+    [1e300, undefined],
+    ["140", undefined],
+  ])("reads a link of %j Mbit/s as %j", (linkMbps, expected) => {
+    const self = { ...settings.self, limits: { linkMbps } };
+    const decoded = Settings.parseSettings(
+      JSON.stringify({ ...settings, self }),
+    ).unwrap();
+    expect(decoded.instance.linkMbps).toBe(expected);
+  });
+
   // Guards against a process that starts with incomplete settings.
   it("is rejected with one message that names every wrong field", () => {
     const wrongSettings = { ...settings, self: { ...settings.self, zone: 7 } };
@@ -118,6 +134,7 @@
     if (change?.kind !== "config") throw new Error("no configuration");
     const [route] = change.config.routesByHost.get("shop.example")!;
     expect(route?.isRepeatable).toBe(expected);
+    expect(change.config.hasDownloads).toBe(kind === "download");
   });
 
   it("decodes target entries, evacuations and removals", () => {
--- a/tests/support/gateway_rig.ts
+++ b/tests/support/gateway_rig.ts
@@ -143,6 +143,8 @@
   readonly config?: string | null;
   /** Memory of each instance, bytes; 250 MB by default. */
   readonly memoryBytes?: number;
+  /** Links that the settings of the instances name, Mbit/s; none by default. */
+  readonly linksMbps?: readonly number[];
   /** Called for each request whose headers an instance reads. */
   readonly onRead?: () => void;
 }
@@ -194,6 +196,7 @@
         region: "north",
         capacity: 1,
         memoryBytes: opts.memoryBytes ?? 250_000_000,
+        linkMbps: opts.linksMbps?.[instances.length],
       },
       listen: {
         caller: address,
