Replace Node's assert module in the bundled program

Cause: for an assertion without a message Node parses the source around it; the bundle is one file of 0.7 MB, so the first failure at each assertion of undici stopped the whole process for seconds.

Change: the bundle takes a plain module for node:assert.

Test: main_test, 'fails assertions without reading its own source'.

--- a/tests/platform/main_test.ts
+++ b/tests/platform/main_test.ts
@@ -1,5 +1,6 @@
 import * as ChildProcess from "node:child_process";
 import * as Fs from "node:fs/promises";
+import * as Module from "node:module";
 import * as Net from "node:net";
 import * as Os from "node:os";
 import * as Path from "node:path";
@@ -7,6 +8,7 @@
 import * as KvStore from "../../testing/kv/kv_store.ts";
 
 const MAIN = "target/anvilroute.cjs";
+const PLAIN_ASSERT = "../../dist/platform/plain_assert.cjs";
 
 /** Runs the program until it exits. */
 async function run(
@@ -35,6 +37,17 @@
     for (const close of closers.splice(0)) await close();
   });
 
+  // Guards against a failed assertion that stops the process for seconds: Node's
+  // module parses the bundle, one long file, to word its message.
+  it("fails assertions without reading its own source", async () => {
+    const bundle = await Fs.readFile(MAIN, "utf8");
+    const assert = Module.createRequire(import.meta.url)(PLAIN_ASSERT);
+    expect(bundle).not.toContain('require("node:assert")');
+    expect(() => assert(false)).toThrow("assertion failed");
+    expect(() => assert(false, "no socket")).toThrow("no socket");
+    expect(() => assert(1)).not.toThrow();
+  });
+
   it("exits with code 2 and logs one line that names the wrong settings", async () => {
     const { code, output } = await run('{"self": {"zone": 7}}');
     expect(code).toBe(2);
