--- a/testing/harness/gateway.ts
+++ b/testing/harness/gateway.ts
@@ -32,6 +32,8 @@
   readonly regionOfDomain: Readonly<Record<string, string>>;
   /** Arguments of the runtime, for example `--cpu-prof`. */
   readonly nodeArgs?: readonly string[];
+  /** Limits of the machine as the platform names them, for example `memoryMb`. */
+  readonly limits?: Readonly<Record<string, number>>;
 }
 
 /** A running instance. */
@@ -62,6 +64,7 @@
       bindIp: ip,
       zone: opts.domain,
       region: opts.region,
+      ...(opts.limits === undefined ? {} : { limits: opts.limits }),
     },
     network: {
       listen: Object.fromEntries(
