Limit what a client connection of the gateway may cost

Node's HTTP server parses all that one read brings, up to 2,400 requests, and neither limits slow bodies and readers nor the number of connections; it checks heads every 30 s. A gate between socket and parser passes on slices, holds a connection back while its responses wait, and closes connections that are too slow, send framing instead of payload, or exceed the machine's descriptors or memory. Requests behind one whose response closes the connection are not handled. A pipeline that closes no longer leaves requests in flight in the counters of the listener.

The stand-in target accepts longer heads, as the longest legal head grows on its way.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,7 @@
 /** Composition of a gateway instance: the order in which its modules start, and its graceful stop. */
 import * as Clock from "../clock.ts";
+import * as ConnectionGate from "../connection_gate.ts";
+import * as ConnectionLimits from "../connection_limits.ts";
 import type * as Log from "../log.ts";
 import * as Metrics from "../metrics/metrics.ts";
 import * as Poison from "../retry/poison.ts";
@@ -260,6 +262,7 @@
       targetConnections: opened,
       responseBytes: responseMemory.getBytes(),
       bodyBytes: bodyMemory.getBytes(),
+      clientConnections: gate.getCount(),
     };
     for (const [name, value] of Object.entries(usage)) {
       metrics.gauge(name, value);
@@ -280,21 +283,41 @@
     getMemberState: () => memberState,
     maxTtlMs: settings.timing.maxDirectoryTtlMs,
   });
+  const gate = ConnectionGate.createConnectionGate({
+    maxConnections: ConnectionLimits.getMaxConnections(
+      instance.maxDescriptors,
+      instance.memoryBytes,
+    ),
+    count: (limit) => metrics.count(`connections.closed.${limit}`),
+    report: (event) => log.warn("client-connection-closed", event),
+  });
   const callerListener = await Servers.listen(
     settings.listen.caller,
+    gate,
+    "callers",
     intake.handle,
     onError,
     readDelay.record,
   );
   const otherListeners = await Promise.all([
-    Servers.listen(settings.listen.ready, endpoints.handleReadiness, onError),
+    Servers.listen(
+      settings.listen.ready,
+      gate,
+      "internal",
+      endpoints.handleReadiness,
+      onError,
+    ),
     Servers.listen(
       settings.listen.directory,
+      gate,
+      "internal",
       endpoints.handleDirectory,
       onError,
     ),
     Servers.listen(
       settings.listen.metrics,
+      gate,
+      "internal",
       (_req, res) => Servers.sendText(res, 200, metrics.formatText()),
       onError,
     ),
@@ -303,7 +326,9 @@
   function applyConfig(config: GatewayTypes.RouteConfig): void {
     accounts.setConfig(config);
     splits.reset();
-    callerListener.setLimits(config.limits);
+    for (const listener of [callerListener, ...otherListeners]) {
+      listener.setLimits(config.limits);
+    }
     if (memberState !== "starting") return;
     memberState = "live";
     log.info("ready", { version: config.version });
@@ -353,6 +378,7 @@
     const closing = [callerListener, ...otherListeners].map((listener) =>
       listener.close()
     );
+    gate.close();
     reach.close();
     connections.close();
     await Promise.all([...closing, supervisor.stop()]);
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -11,6 +11,8 @@
     readonly capacity: number;
     /** Memory that the process may use, bytes. */
     readonly memoryBytes: number;
+    /** Descriptors that the process may open. */
+    readonly maxDescriptors: number;
   };
   readonly listen: {
     readonly caller: Types.Address;
--- a/src/http_connections.ts
+++ b/src/http_connections.ts
@@ -104,12 +104,17 @@
     const acceptedAtMs = performance.now();
     recordAccept(acceptedAtMs);
     activityCount++;
-    connections.set(socket, { acceptedAtMs, requestCount: 0, inFlight: 0 });
-    socket.once("close", () => connections.delete(socket));
+    const conn = { acceptedAtMs, requestCount: 0, inFlight: 0 };
+    connections.set(socket, conn);
+    socket.once("close", () => {
+      connections.delete(socket);
+      // In a pipeline only the first response closes with the connection.
+      inFlight -= conn.inFlight;
+      conn.inFlight = 0;
+    });
   });
 
   server.prependListener("request", ({ socket }, res) => {
-    inFlight++;
     const conn = connections.get(socket);
     if (conn?.requestCount === 0) {
       const { acceptedAtMs } = conn;
@@ -121,11 +126,13 @@
     if (conn !== undefined) {
       conn.requestCount++;
       conn.inFlight++;
+      inFlight++;
     }
     res.once("close", () => {
-      inFlight--;
       activityCount++;
-      if (conn !== undefined) conn.inFlight--;
+      if (conn === undefined || conn.inFlight === 0) return;
+      conn.inFlight--;
+      inFlight--;
     });
   });
 
--- a/testing/kv/kv_target.ts
+++ b/testing/kv/kv_target.ts
@@ -58,7 +58,10 @@
   let longBody: Buffer | undefined;
   let statedHeaders: Http.OutgoingHttpHeaders = {};
   let cancelled = 0;
-  const server = Http.createServer({ keepAliveTimeout: 10_000 }, (req, res) => {
+  const server = Http.createServer({
+    keepAliveTimeout: 10_000,
+    maxHeaderSize: 64 * 1_024,
+  }, (req, res) => {
     const requestId = String(req.headers["x-request-id"]);
     seen.push(req.headers);
     arrivedAtMs.push(performance.now());
--- a/tests/support/gateway_rig.ts
+++ b/tests/support/gateway_rig.ts
@@ -194,6 +194,7 @@
         region: "north",
         capacity: 1,
         memoryBytes: opts.memoryBytes ?? 250_000_000,
+        maxDescriptors: 8_192,
       },
       listen: {
         caller: address,
