--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -13,6 +13,8 @@
     readonly memoryBytes: number;
     /** Capacity of the instance's own link, Mbit/s; undefined when the settings don't name it. */
     readonly linkMbps?: number | undefined;
+    /** Descriptors that the process may open. */
+    readonly maxDescriptors: number;
   };
   readonly listen: {
     readonly caller: Types.Address;
--- a/tests/support/gateway_rig.ts
+++ b/tests/support/gateway_rig.ts
@@ -197,6 +197,7 @@
         capacity: 1,
         memoryBytes: opts.memoryBytes ?? 250_000_000,
         linkMbps: opts.linksMbps?.[instances.length],
+        maxDescriptors: 8_192,
       },
       listen: {
         caller: address,
