--- a/testing/kv/kv_target.ts
+++ b/testing/kv/kv_target.ts
@@ -65,11 +65,11 @@
     if (rateLimitPerS !== undefined) {
       res.setHeader("Server-Limit", String(rateLimitPerS));
     }
+    res.setHeader("X-Server-Load", `${0},0,4`);
     for (const [name, value] of Object.entries(statedHeaders)) {
       if (value !== undefined) res.setHeader(name, value);
     }
     res.setHeader("X-Request-Id", requestId);
-    res.setHeader("X-Server-Load", `${0},0,4`);
     res.on("close", () => {
       if (!res.writableFinished) cancelled++;
     });
