--- a/testing/model/fleet_model.ts
+++ b/testing/model/fleet_model.ts
@@ -201,6 +201,8 @@
     ...SMALL_SITE,
     ...scenario.site,
   };
+  const hasWorkingSets = policy === "product" || policy === "own-reports";
+  const isExchanging = policy === "product" || policy === "all-objects";
   const queueCapacity = slots * QUEUED_PER_SLOT;
   const random = Random.createRandom(seed);
   const events = EventQueue.createEventQueue();
@@ -329,7 +331,7 @@
         const isForPrimary = wasAdmitted
           ? choice.candidate === primary
           : !primary.isExcluded;
-        if (isForPrimary && policy !== "all-objects") {
+        if (isForPrimary && hasWorkingSets) {
           workingSets.recordAdmission(id, wasAdmitted);
         }
       }
@@ -395,7 +397,7 @@
         slots,
       };
       loads.recordReport(id, report);
-      if (policy === "product") exchange.recordReport(id, report);
+      if (isExchanging) exchange.recordReport(id, report);
       if (!isServed) {
         if (req.triedIds.size < MAX_TARGETS) return handleRequest(req);
         req.counts.rejected++;
@@ -442,7 +444,7 @@
       }
       events.schedule(LoadExchange.INTERVAL_MS, sendLoads);
     }
-    if (policy === "product") {
+    if (isExchanging) {
       events.schedule(eventRandom() * LoadExchange.INTERVAL_MS, sendLoads);
     }
 
