Admit by estimated queues while a service has more demand than room

An instance sends to one target every few seconds, so it takes targets that it knows nothing about for empty. Under overload, keys spill to targets that are full as well, and first runs displace other requests.

overload.ts estimates queues from the load reports in responses (a target's own last one, fading to the service's average). While targets queue, keys don't spill to targets where they are not cached, requests near the wait bound are admitted with a probability that falls with the wait and with the account's usage of its limit, callers' returns are spread, and no second send follows a shed. Coordinators of accounts add the usage to their grants.

--- a/src/gateway/account_pool.ts
+++ b/src/gateway/account_pool.ts
@@ -55,6 +55,8 @@
   acquire(account: GatewayTypes.AccountSpec): Promise<Quota.AcquireResult>;
   /** Refunds the token of a request that did not run. */
   refund(account: GatewayTypes.AccountSpec): void;
+  /** The account's requests of all domains relative to its limit; undefined if the coordinator hasn't reported it lately. */
+  tryGetUsage(account: GatewayTypes.AccountSpec): number | undefined;
   /** The instance from which this instance acquires tokens. */
   getCoordinator(): Types.InstanceId;
   /** Records which coordinator a member of the domain uses. */
@@ -64,6 +66,9 @@
   ): void;
 }
 
+/** Age up to which the usage that a coordinator reported is used, ms; the demand is averaged over half of that. */
+const USAGE_VALID_MS = 3_000;
+
 interface CoordinatorVote {
   readonly coordinator: Types.InstanceId;
   readonly atMs: number;
@@ -79,6 +84,9 @@
   /** Requests per second at this instance, as a moving average. */
   demand: number;
   updatedAtMs: number;
+  /** The account's usage in the coordinator's last response. */
+  usage: number | undefined;
+  usageAtMs: number;
   /** Tokens, or the probability of one token, that may be spent without the coordinator. */
   reserve: number;
 }
@@ -186,6 +194,8 @@
       unreportedRequests: 0,
       demand: 0,
       updatedAtMs: clock.nowMs(),
+      usage: undefined,
+      usageAtMs: -Infinity,
       reserve: getMaxReserve(),
     };
     localBuckets.set(account.name, created);
@@ -235,6 +245,8 @@
     }
     bucket.tokens += granted.tokens;
     bucket.acquiredAtMs = clock.nowMs();
+    bucket.usage = granted.usage;
+    bucket.usageAtMs = clock.nowMs();
     return granted.retryAfterMs;
   }
 
@@ -302,7 +314,13 @@
       Number(newRequests),
       Number(maxTokens),
     );
-    return [granted.tokens, Math.round(granted.retryAfterMs)];
+    const usage = quota.tryGetUsage(String(account));
+    // Older builds ignore the third element.
+    return [
+      granted.tokens,
+      Math.round(granted.retryAfterMs),
+      usage === undefined ? null : Math.round(usage * 100) / 100,
+    ];
   }
   peers.handle(ACQUIRE_METHOD, handleAcquire);
 
@@ -325,17 +343,31 @@
       bucket.tokens++;
       bucket.acquiredAtMs = clock.nowMs();
     },
+    tryGetUsage(account) {
+      if (account.ratePerS <= 0) return undefined;
+      if (getCoordinator() === self) return quota.tryGetUsage(account.name);
+      const bucket = localBuckets.get(account.name);
+      if (bucket === undefined) return undefined;
+      const isFresh = clock.nowMs() - bucket.usageAtMs <= USAGE_VALID_MS;
+      return isFresh ? bucket.usage : undefined;
+    },
     getCoordinator,
     recordCoordinatorVote: recordVote,
   };
 }
 
-function tryReadGrant(
-  raw: unknown,
-): { readonly tokens: number; readonly retryAfterMs: number } | undefined {
+interface Grant extends Quota.GrantedTokens {
+  /** The account's usage; undefined from older builds, and for an account without a limit. */
+  readonly usage: number | undefined;
+}
+
+function tryReadGrant(raw: unknown): Grant | undefined {
   if (!Array.isArray(raw)) return undefined;
-  const [tokens, retryAfterMs] = raw;
+  const [tokens, retryAfterMs, rawUsage] = raw;
   const isValid = typeof tokens === "number" && tokens >= 0 &&
     typeof retryAfterMs === "number" && retryAfterMs >= 0;
-  return isValid ? { tokens, retryAfterMs } : undefined;
+  if (!isValid) return undefined;
+  const isUsageValid = typeof rawUsage === "number" &&
+    Number.isFinite(rawUsage) && rawUsage >= 0;
+  return { tokens, retryAfterMs, usage: isUsageValid ? rawUsage : undefined };
 }
--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -170,7 +170,10 @@
 }
 
 /** The wait bound: longest time that a request of this priority may queue at the candidate, ms. */
-function getWaitBoundMs(candidate: Candidate, profile: RequestProfile): number {
+export function getWaitBoundMs(
+  candidate: Candidate,
+  profile: RequestProfile,
+): number {
   const availableMs = profile.targetLatencyMs - candidate.roundTripMs -
     profile.cacheHitMs;
   const share = Math.max(
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -9,6 +9,7 @@
 import type * as Attempt from "./attempt.ts";
 import * as Choice from "./choice.ts";
 import * as EligibleTargets from "./eligible_targets.ts";
+import type * as Overload from "./overload.ts";
 import * as PendingRequest from "./pending_request.ts";
 import * as Rejection from "./rejection.ts";
 import type * as Responder from "./responder.ts";
@@ -27,6 +28,13 @@
 /** Retry advice while no instance that can be reached reaches targets; a partition lasts for seconds. */
 const NO_INSTANCE_RETRY_MS = 300;
 
+/** For the primary target, a rejection under overload is one for lack of room. */
+const OVERLOAD_CHOICE: Choice.Choice = {
+  kind: "reject",
+  reason: "full",
+  retryAfterMs: 0,
+};
+
 /** Forwards requests that were taken in. */
 export interface Forwarder {
   /** Sends an admitted request to targets until a response or a rejection goes to the caller. */
@@ -52,6 +60,13 @@
       return pending.triedTargets.size <= MAX_UNREACHABLE_TARGETS;
     }
     if (pending.sendCount >= maxTargets) return false;
+    // Another target would be as full, and its first run of the key adds load.
+    const isWithheld = result.kind === "not-run" && !result.isMisdirected &&
+      deps.overload.isOverloaded(pending.service);
+    if (isWithheld) {
+      deps.metrics.count("overload.second-sends-withheld");
+      return false;
+    }
     const isSafe = result.kind === "not-run" ||
       (result.kind === "broke" && isRepeatable);
     return isSafe && tryAcquireRetry(pending);
@@ -116,6 +131,34 @@
     }
   }
 
+  function getOverloadRequest(
+    { account, route, service }: PendingRequest.PendingRequest,
+  ): Overload.OverloadRequest {
+    const usage = account === undefined
+      ? undefined
+      : deps.accounts.tryGetUsage(account);
+    return { service, timeoutMs: route.timeoutMs, usage };
+  }
+
+  /** Asks for admission at the first choice only: a request that a target failed has been admitted. */
+  function decideOverload(
+    pending: PendingRequest.PendingRequest,
+    candidates: readonly Choice.Candidate[],
+    profile: Choice.RequestProfile,
+  ): Overload.Decision {
+    if (pending.triedTargets.size > 0) return { kind: "admit", candidates };
+    const request = getOverloadRequest(pending);
+    return deps.overload.decide(request, candidates, profile);
+  }
+
+  function getRetryAfterMs(
+    pending: PendingRequest.PendingRequest,
+    advisedMs: number,
+  ): number {
+    const request = getOverloadRequest(pending);
+    return deps.overload.getRetryAfterMs(request, advisedMs);
+  }
+
   /** True if another instance may serve the request, as this one reaches no target, or can't open the connection that it needs. */
   function isRelayUseful({ callerFields }: PendingRequest.PendingRequest) {
     if (callerFields.isRelayed) return false;
@@ -171,6 +214,7 @@
     pending: PendingRequest.PendingRequest,
   ): Promise<void> {
     deps.retryBudget.recordRequest(pending.service);
+    let hasWaited = false;
     for (;;) {
       if (pending.cancellation.isCancelled()) {
         return endCancelled(pending, undefined);
@@ -178,9 +222,23 @@
       const canRelay = isRelayUseful(pending);
       if (canRelay && deps.reach.isStranded()) return relayAdmitted(pending);
       const profile = sender.getProfile(pending);
-      const candidates = sender.getCandidates(pending);
+      const allCandidates = sender.getCandidates(pending);
+      const decision: Overload.Decision = hasWaited
+        ? { kind: "admit", candidates: allCandidates }
+        : decideOverload(pending, allCandidates, profile);
+      if (decision.kind === "reject") {
+        recordAdmission(allCandidates[0], OVERLOAD_CHOICE);
+        deps.metrics.count("overload.refused");
+        const rejection = Rejection.createRejection(
+          "queueFull",
+          "not-run",
+          decision.retryAfterMs,
+        );
+        return rejectPending(pending, rejection, "overload");
+      }
+      const { candidates } = decision;
       const choice = Choice.chooseCandidate(candidates, profile);
-      if (pending.sendCount === 0) recordAdmission(candidates[0], choice);
+      if (pending.sendCount === 0) recordAdmission(allCandidates[0], choice);
       if (choice.kind === "reject") {
         if (canRelay && choice.reason === "no-target") {
           return relayAdmitted(pending);
@@ -189,10 +247,13 @@
         const refusalMs = choice.reason === "no-target"
           ? sender.tryGetRefusalMs(candidates)
           : undefined;
+        const retryAfterMs = choice.reason === "full"
+          ? getRetryAfterMs(pending, choice.retryAfterMs)
+          : refusalMs ?? choice.retryAfterMs;
         const rejection = Rejection.createRejection(
           code,
           "not-run",
-          refusalMs ?? choice.retryAfterMs,
+          retryAfterMs,
         );
         return rejectPending(pending, rejection, choice.reason);
       }
@@ -201,6 +262,7 @@
       if (choice.kind === "wait") {
         const { affinityKey, cancellation } = pending;
         await deps.warmups.wait(affinityKey, id, choice.maxMs, cancellation);
+        hasWaited = true;
         continue;
       }
       const result = await sender.send(pending, candidate, profile);
@@ -229,7 +291,10 @@
       const rejection = Rejection.createRejection(
         "shedByTarget",
         "not-run",
-        Math.min(Math.max(waitMs, MIN_SHED_RETRY_MS), MAX_SHED_RETRY_MS),
+        getRetryAfterMs(
+          pending,
+          Math.min(Math.max(waitMs, MIN_SHED_RETRY_MS), MAX_SHED_RETRY_MS),
+        ),
       );
       return rejectPending(pending, rejection, result.kind, id);
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import * as Endpoints from "./endpoints.ts";
 import * as Forwarder from "./forwarder.ts";
 import * as Intake from "./intake.ts";
+import * as Overload from "./overload.ts";
 import type * as PendingRequest from "./pending_request.ts";
 import * as ReadBarrier from "./read_barrier.ts";
 import * as ReadDelay from "./read_delay.ts";
@@ -141,6 +142,11 @@
     clock,
     (target, isLimited) => log.info("target-limited", { target, isLimited }),
   );
+  const overload = Overload.createOverload({
+    clock,
+    onChange: (service, isOverloaded) =>
+      log.info("service-overloaded", { service, isOverloaded }),
+  });
   const loads = TargetLoad.createTargetLoads(clock);
   const statements = TargetStatements.createTargetStatements(clock, log);
   const timings = Timings.createTimings();
@@ -217,6 +223,7 @@
     }),
     cacheState: CacheState.createCacheState(clock),
     workingSets,
+    overload,
     warmups: Warmup.createWarmups(clock),
     loads,
     targetLimits,
@@ -316,6 +323,7 @@
     targetLimits.removeTarget(entry.id);
     coldStarts.removeTarget(entry.id);
     workingSets.removeTarget(entry.id);
+    overload.removeTarget(entry.id);
     connections.removeTarget(entry.address);
   });
 
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -8,6 +8,7 @@
 import type * as Cancellation from "./cancellation.ts";
 import type * as ColdStart from "./cold_start.ts";
 import type * as ReadBarrier from "./read_barrier.ts";
+import type * as Overload from "./overload.ts";
 import type * as Placement from "./placement.ts";
 import type * as Relay from "./relay.ts";
 import type * as RequestLog from "./request_log.ts";
@@ -50,6 +51,7 @@
   readonly clock: Clock.Clock;
   readonly readBarrier: ReadBarrier.ReadBarrier;
   readonly workingSets: WorkingSet.WorkingSets;
+  readonly overload: Overload.Overload;
   /** Requests per second that a cold target of the service may receive from all instances together. */
   readonly getColdRatePerS: (service: Types.Service) => number;
 }
--- a/src/gateway/quota.ts
+++ b/src/gateway/quota.ts
@@ -72,6 +72,8 @@
   refund(account: Types.Account): void;
   /** The local domain's share of the fleet's limit, 0 to 1. */
   getShare(account: Types.Account): number;
+  /** The account's requests of all domains relative to its limit; undefined without a limit. */
+  tryGetUsage(account: Types.Account): number | undefined;
   /** Sets the fraction of the domain's shares that this instance may spend, 0 to 1. */
   setSpendableShare(share: number): void;
   /** Updates the shares and returns the demand of the local domain. */
@@ -272,6 +274,13 @@
       return demands;
     },
     getShare: (account) => buckets.get(account)?.share ?? 0,
+    tryGetUsage(account) {
+      const bucket = buckets.get(account);
+      if (bucket === undefined || bucket.ratePerS <= 0) return undefined;
+      updateBucket(bucket);
+      // The share is this domain's part of the demand.
+      return bucket.demand / (bucket.ratePerS * Math.max(bucket.share, 0.01));
+    },
     setSpendableShare(share) {
       if (share === spendableShare) return;
       for (const bucket of buckets.values()) updateBucket(bucket);
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -156,13 +156,18 @@
 
   /** Records what the target reports about itself. A rejection need not repeat its rate limit. */
   function recordFields(
+    pending: PendingRequest.PendingRequest,
     entry: GatewayTypes.TargetEntry,
     fields: GatewayTypes.ResponseFields,
   ): void {
     const { isNotRun, load, rateLimitPerS } = fields;
     const { id } = entry;
     deps.statements.recordResponse(entry, fields);
-    if (load !== undefined) deps.loads.recordReport(id, load);
+    if (load !== undefined) {
+      deps.loads.recordReport(id, load);
+      const profile = getProfile(pending);
+      deps.overload.recordReport(pending.service, id, load, profile);
+    }
     if (isNotRun && rateLimitPerS === undefined) return;
     deps.targetLimits.recordResponse(id, rateLimitPerS);
   }
@@ -198,7 +203,7 @@
         const serviceMs = Math.max(1, clock.nowMs() - sentAtMs - roundTripMs);
         const isFailure = result.response.status >= 500;
         deps.loads.end(id, "answered");
-        recordFields(candidate.target.entry, result.fields);
+        recordFields(pending, candidate.target.entry, result.fields);
         if (!isFailure) {
           // A target that is overloaded with affinity keys evicts them early, so an
           // earlier response proves nothing there.
@@ -223,7 +228,7 @@
       case "not-run":
         deps.loads.end(id, result.isMisdirected ? "unreachable" : "shed");
         if (!result.isMisdirected) {
-          recordFields(candidate.target.entry, result.fields);
+          recordFields(pending, candidate.target.entry, result.fields);
         }
         return;
       case "unreachable":
