--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -112,7 +112,7 @@
 const MAX_RETRY_MS = 800;
 
 /** Service time of a cold target relative to a warm one (2 at the users' sites). */
-const COLD_SLOWDOWN = 2;
+export const COLD_SLOWDOWN = 2;
 /** Hit probability from which the affinity key is treated as cached. */
 const LIKELY_CACHED_CHANCE = 0.5;
 
@@ -170,7 +170,10 @@
 }
 
 /** The wait bound: longest time that a request of this priority may queue at the candidate, ms. */
-function getWaitBoundMs(candidate: Candidate, profile: RequestProfile): number {
+export function getWaitBoundMs(
+  candidate: Candidate,
+  profile: RequestProfile,
+): number {
   const availableMs = profile.targetLatencyMs - candidate.roundTripMs -
     profile.cacheHitMs;
   const share = Math.max(
