Stop keys from spilling only while their service is overloaded

A service queues a little in calm where its targets differ in speed; a spill to a free target then shortens the wait.

--- a/src/gateway/overload.ts
+++ b/src/gateway/overload.ts
@@ -12,7 +12,8 @@
  * The load report in each response is a sample of the queues of the service. A
  * target's queue is estimated from its own last sample and, the older that is, the
  * more from the service's average. While targets queue:
- * - an affinity key doesn't spill to a target where it isn't cached;
+ * - an affinity key of an overloaded service doesn't spill to a target where it
+ *   isn't cached; before, a spill to a free target shortens the wait;
  * - requests to a target with an estimated wait near the wait bound are admitted
  *   with a probability that falls with the wait, so instances don't start and
  *   stop sending together. Accounts that use more of their limit get a lower one
@@ -173,7 +174,8 @@
     const ratio = slowdown * waiting * profile.cacheHitMs /
       Choice.getWaitBoundMs(candidate, profile);
     const spillRatio = Math.max(ratio, getWaitRatio(service));
-    if (isSpill && spillRatio > MAX_SPILL_RATIO) return 0;
+    const isHeld = service.isOverloaded && spillRatio > MAX_SPILL_RATIO;
+    if (isSpill && isHeld) return 0;
     if (ratio <= FULL_ADMISSION_RATIO) return 1;
     const share = Math.max(
       MIN_ADMISSION,
