Name the rule of a choice, and read limits without changing them

The operators' tool will show why a request goes where it goes. The choice told its result only, and checking a limit moved it: a target's allowance and an account's bucket are brought up to date, and a vote is renewed.

Choice.decide returns the rule beside the choice; chooseCandidate returns the choice as before. TargetLimits.peekCanSend, Quota.tryPeek and AccountPool.peek compute what the deciding calls would find and store nothing. The rejection for a choice moves from the forwarder to the sender, so that both use it.

--- a/src/gateway/account_pool.ts
+++ b/src/gateway/account_pool.ts
@@ -55,6 +55,8 @@
   acquire(account: GatewayTypes.AccountSpec): Promise<Quota.AcquireResult>;
   /** Refunds the token of a request that did not run. */
   refund(account: GatewayTypes.AccountSpec): void;
+  /** What `acquire` would find; changes nothing. */
+  peek(account: GatewayTypes.AccountSpec): AccountView;
   /** The instance from which this instance acquires tokens. */
   getCoordinator(): Types.InstanceId;
   /** Records which coordinator a member of the domain uses. */
@@ -64,6 +66,20 @@
   ): void;
 }
 
+/** An account's limit as one instance knows it. */
+export interface AccountView {
+  /** The instance that has the domain's share. */
+  readonly coordinator: Types.InstanceId;
+  /** The domain's share of the limit, 0 to 1. */
+  readonly domainShare: number;
+  /** Tokens that this instance may spend without asking. */
+  readonly tokens: number;
+  /** Requests per second that the coordinator may admit; undefined at other instances. */
+  readonly ratePerS: number | undefined;
+  /** The result; another instance than the coordinator asks it when it has no token. */
+  readonly result: Quota.AcquireResult | "asks-coordinator";
+}
+
 interface CoordinatorVote {
   readonly coordinator: Types.InstanceId;
   readonly atMs: number;
@@ -124,7 +140,8 @@
     readonly coordinator: Types.InstanceId;
   } = { candidates: [], coordinator: self };
 
-  function getCoordinator(): Types.InstanceId {
+  /** Selects the coordinator without voting for it. */
+  function selectCoordinator(): Types.InstanceId {
     const candidates = opts.getCandidates();
     if (candidates !== selection.candidates) {
       selection = {
@@ -132,27 +149,48 @@
         coordinator: chooseCoordinator(candidates) ?? self,
       };
     }
+    return selection.coordinator;
+  }
+
+  function getCoordinator(): Types.InstanceId {
+    selectCoordinator();
     if (selection.coordinator !== self) recordVote(self, selection.coordinator);
     return selection.coordinator;
   }
 
-  /** Fraction of the domain's instances that vote for this instance. */
-  function getVoteShare(): number {
+  /** Fraction of the domain's instances that vote for this instance, if it votes for itself. */
+  function computeVoteShare(): number {
     const now = clock.nowMs();
-    recordVote(self, self);
-    let voteCount = 0;
+    const own = createVote(self, self);
+    let voteCount = now >= own.effectiveAtMs ? 1 : 0;
     for (const [id, { atMs, effectiveAtMs, coordinator }] of votes) {
-      if (now - atMs > VOTE_EXPIRY_MS) votes.delete(id);
-      else if (coordinator === self && now >= effectiveAtMs) voteCount++;
+      if (id === self || now - atMs > VOTE_EXPIRY_MS) continue;
+      if (coordinator === self && now >= effectiveAtMs) voteCount++;
     }
     const memberCount = Math.max(1, opts.getMembers().length);
     return Math.min(1, voteCount / memberCount);
   }
 
+  /** Votes for this instance and returns the fraction of the domain's instances that do. */
+  function getVoteShare(): number {
+    recordVote(self, self);
+    for (const [id, { atMs }] of votes) {
+      if (clock.nowMs() - atMs > VOTE_EXPIRY_MS) votes.delete(id);
+    }
+    return computeVoteShare();
+  }
+
   function recordVote(
     voter: Types.InstanceId,
     coordinator: Types.InstanceId,
   ): void {
+    votes.set(voter, createVote(voter, coordinator));
+  }
+
+  function createVote(
+    voter: Types.InstanceId,
+    coordinator: Types.InstanceId,
+  ): CoordinatorVote {
     const now = clock.nowMs();
     const previous = votes.get(voter);
     const isUnchanged = previous?.coordinator === coordinator;
@@ -160,7 +198,7 @@
     const mayOverlap = previous !== undefined && !isUnchanged &&
       previous.coordinator !== voter &&
       opts.getMembers().includes(previous.coordinator);
-    votes.set(voter, {
+    return {
       coordinator,
       atMs: now,
       effectiveAtMs: isUnchanged
@@ -168,7 +206,7 @@
         : mayOverlap
         ? now + VOTE_EXPIRY_MS
         : now,
-    });
+    };
   }
 
   /** Most tokens in the reserve of one instance; less than one in a large fleet. */
@@ -289,6 +327,30 @@
       : { retryAfterMs: NO_RESPONSE_RETRY_MS };
   }
 
+  function peek(account: GatewayTypes.AccountSpec): AccountView {
+    const coordinator = selectCoordinator();
+    const domainShare = quota.getShare(account.name);
+    const isLimited = account.ratePerS > 0;
+    if (coordinator === self) {
+      const view = quota.tryPeek(account.name, computeVoteShare());
+      const isAcquired = !isLimited || view === undefined || view.tokens >= 1;
+      return {
+        coordinator,
+        domainShare,
+        tokens: view?.tokens ?? 0,
+        ratePerS: view?.ratePerS,
+        result: isAcquired ? "acquired" : { retryAfterMs: view.retryAfterMs },
+      };
+    }
+    const bucket = localBuckets.get(account.name);
+    const isFresh = bucket !== undefined &&
+      clock.nowMs() - bucket.acquiredAtMs <= PREFETCH_EXPIRY_MS;
+    const tokens = isFresh ? bucket.tokens : 0;
+    const hasToken = !isLimited || tokens >= 1;
+    const result = hasToken ? "acquired" : "asks-coordinator";
+    return { coordinator, domainShare, tokens, ratePerS: undefined, result };
+  }
+
   function handleAcquire(
     params: unknown,
     requester: Types.InstanceId,
@@ -325,6 +387,7 @@
       bucket.tokens++;
       bucket.acquiredAtMs = clock.nowMs();
     },
+    peek,
     getCoordinator,
     recordCoordinatorVote: recordVote,
   };
--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -86,10 +86,37 @@
     readonly retryAfterMs: number;
   };
 
+/** The rule that decided a choice. */
+export type Rule =
+  /** There is no candidate. */
+  | "no-candidate"
+  /** All candidates are paused. */
+  | "all-paused"
+  /** The affinity key is outside the working sets of all candidates. */
+  | "outside-working-sets"
+  /** All candidates have a full queue or have reached their send rate. */
+  | "all-full"
+  /** At all candidates the request would queue for longer than its wait bound. */
+  | "wait-bound"
+  /** The response of the cheapest candidate would come after the deadline. */
+  | "deadline"
+  /** A warm-up request for the affinity key is running. */
+  | "warm-up"
+  /** Only candidates that shed many requests have room; the cheapest one gets it. */
+  | "only-shedding"
+  /** The cheapest candidate gets it. */
+  | "lowest-cost";
+
+/** A choice and the rule that decided it. */
+export interface Decision {
+  readonly choice: Choice;
+  readonly rule: Rule;
+}
+
 /** Targets queue about three requests for each slot and shed the others. */
 const MAX_QUEUED_PER_SLOT = 3;
 /** A candidate that sheds at least this share is used only when no other meets the wait bound. */
-const MAX_SHED_SHARE = 0.3;
+export const MAX_SHED_SHARE = 0.3;
 /**
  * Cost of each rank, as a multiple of the cost of a cache miss. It keeps an
  * affinity key at two targets when two suffice: a target caches a bounded number
@@ -154,7 +181,10 @@
 }
 
 /** Expected response time plus the cost to other requests, ms. */
-function getCostMs(candidate: Candidate, profile: RequestProfile): number {
+export function getCostMs(
+  candidate: Candidate,
+  profile: RequestProfile,
+): number {
   const expectedMs = getExpectedResponseMs(candidate, profile);
   // A cache miss at the primary target is unavoidable, so it has no extra cost.
   if (candidate.rank === 0) return expectedMs;
@@ -170,7 +200,10 @@
 }
 
 /** The wait bound: longest time that a request of this priority may queue at the candidate, ms. */
-function getWaitBoundMs(candidate: Candidate, profile: RequestProfile): number {
+export function getWaitBoundMs(
+  candidate: Candidate,
+  profile: RequestProfile,
+): number {
   const availableMs = profile.targetLatencyMs - candidate.roundTripMs -
     profile.cacheHitMs;
   const share = Math.max(
@@ -184,7 +217,7 @@
  * Returns true when the request may queue at the candidate. A likely cache miss
  * away from the primary target is accepted only on a free slot.
  */
-function isWithinWaitBound(
+export function isWithinWaitBound(
   candidate: Candidate,
   profile: RequestProfile,
 ): boolean {
@@ -195,17 +228,18 @@
 }
 
 /** Returns true when the target would shed the request because its queue is full. */
-function isFull(candidate: Candidate): boolean {
+export function isFull(candidate: Candidate): boolean {
   const { slots } = candidate.target.entry;
   return candidate.outstanding >= slots * (1 + MAX_QUEUED_PER_SLOT);
 }
 
-function createRejection(
+function decideRejection(
+  rule: Rule,
   reason: "no-target" | "full",
   afterMs: number,
-): Choice {
+): Decision {
   const retryAfterMs = Math.min(Math.max(afterMs, MIN_RETRY_MS), MAX_RETRY_MS);
-  return { kind: "reject", reason, retryAfterMs };
+  return { rule, choice: { kind: "reject", reason, retryAfterMs } };
 }
 
 /** Chooses among the candidates of an affinity key, which are ordered by rank. */
@@ -213,17 +247,28 @@
   candidates: readonly Candidate[],
   profile: RequestProfile,
 ): Choice {
+  return decide(candidates, profile).choice;
+}
+
+/** Chooses like `chooseCandidate` and names the rule that decided. */
+export function decide(
+  candidates: readonly Candidate[],
+  profile: RequestProfile,
+): Decision {
   const reachable = candidates.filter((candidate) => !candidate.isPaused);
   const eligible = reachable.filter((candidate) => !candidate.isExcluded);
   if (reachable.length > 0 && eligible.length === 0) {
-    return createRejection("full", MAX_RETRY_MS);
+    return decideRejection("outside-working-sets", "full", MAX_RETRY_MS);
   }
   const available = eligible.filter((candidate) =>
     !candidate.isRateLimitReached && !isFull(candidate)
   );
   if (available.length === 0) {
-    const reason = reachable.length === 0 ? "no-target" : "full";
-    return createRejection(reason, NO_TARGET_RETRY_MS);
+    if (reachable.length > 0) {
+      return decideRejection("all-full", "full", NO_TARGET_RETRY_MS);
+    }
+    const rule = candidates.length === 0 ? "no-candidate" : "all-paused";
+    return decideRejection(rule, "no-target", NO_TARGET_RETRY_MS);
   }
   const withinBound = available.filter((candidate) =>
     isWithinWaitBound(candidate, profile)
@@ -233,7 +278,7 @@
     const excessWaitsMs = available.map((candidate) =>
       getQueueWaitMs(candidate, profile) - getWaitBoundMs(candidate, profile)
     );
-    return createRejection("full", Math.min(...excessWaitsMs));
+    return decideRejection("wait-bound", "full", Math.min(...excessWaitsMs));
   }
   const healthy = withinBound.filter((candidate) =>
     candidate.shedShare < MAX_SHED_SHARE
@@ -243,17 +288,21 @@
   );
   const warming = tryGetWarmingCandidate(withinBound, cheapest, profile);
   if (warming?.warmupRemainingMs !== undefined) {
+    const maxMs = warming.warmupRemainingMs;
     return {
-      kind: "wait",
-      candidate: warming,
-      maxMs: warming.warmupRemainingMs,
+      rule: "warm-up",
+      choice: { kind: "wait", candidate: warming, maxMs },
     };
   }
   const expectedMs = getExpectedResponseMs(cheapest, profile);
   if (expectedMs > profile.deadlineMs) {
-    return createRejection("full", expectedMs - profile.deadlineMs);
+    const afterMs = expectedMs - profile.deadlineMs;
+    return decideRejection("deadline", "full", afterMs);
   }
-  return { kind: "send", candidate: cheapest };
+  return {
+    rule: healthy.length > 0 ? "lowest-cost" : "only-shedding",
+    choice: { kind: "send", candidate: cheapest },
+  };
 }
 
 /**
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -185,15 +185,7 @@
         if (canRelay && choice.reason === "no-target") {
           return relayAdmitted(pending);
         }
-        const code = choice.reason === "full" ? "queueFull" : "noTarget";
-        const refusalMs = choice.reason === "no-target"
-          ? sender.tryGetRefusalMs(candidates)
-          : undefined;
-        const rejection = Rejection.createRejection(
-          code,
-          "not-run",
-          refusalMs ?? choice.retryAfterMs,
-        );
+        const rejection = sender.createRejection(choice, candidates);
         return rejectPending(pending, rejection, choice.reason);
       }
       const { candidate } = choice;
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -86,7 +86,20 @@
   sendCount: number;
 }
 
+/** What the choice of a target depends on. */
+export type RequestFacts = Pick<
+  PendingRequest,
+  | "account"
+  | "affinityKey"
+  | "deadlineAtMs"
+  | "route"
+  | "service"
+  | "triedTargets"
+>;
+
 /** Returns the priority of the account, or else of the route; 0 is the most urgent. */
-export function getPriority({ account, route }: PendingRequest): number {
+export function getPriority(
+  { account, route }: Pick<PendingRequest, "account" | "route">,
+): number {
   return account?.priority ?? route.priority;
 }
--- a/src/gateway/quota.ts
+++ b/src/gateway/quota.ts
@@ -70,6 +70,8 @@
   ): GrantedTokens;
   /** Refunds the token of a request that did not run. */
   refund(account: Types.Account): void;
+  /** What `acquire` would find if `spendable` were the spendable share; changes nothing. Undefined for an unknown account. */
+  tryPeek(account: Types.Account, spendable: number): QuotaView | undefined;
   /** The local domain's share of the fleet's limit, 0 to 1. */
   getShare(account: Types.Account): number;
   /** Sets the fraction of the domain's shares that this instance may spend, 0 to 1. */
@@ -79,6 +81,16 @@
   recordDomainDemands(domain: Types.Domain, demands: Demands): void;
 }
 
+/** An account's part of its limit at the coordinator of a domain. */
+export interface QuotaView {
+  /** Tokens that may be spent now. */
+  readonly tokens: number;
+  /** Requests per second. */
+  readonly ratePerS: number;
+  /** Delay after which a retry may get a token, ms; 0 while there is one. */
+  readonly retryAfterMs: number;
+}
+
 interface Bucket {
   ratePerS: number;
   burst: number;
@@ -155,16 +167,21 @@
     return Math.max(burst * spendableShare, MIN_BURST);
   }
 
-  function getRatePerS(bucket: Bucket): number {
-    return bucket.ratePerS * bucket.share * spendableShare;
+  function getRatePerS(bucket: Bucket, spendable = spendableShare): number {
+    return bucket.ratePerS * bucket.share * spendable;
   }
 
-  function getRetryAfterMs(bucket: Bucket): number {
-    const waitMs = (1 - bucket.tokens) * 1_000 /
-      Math.max(getRatePerS(bucket), 0.1);
+  function getRetryAfterMs(tokens: number, ratePerS: number): number {
+    const waitMs = (1 - tokens) * 1_000 / Math.max(ratePerS, 0.1);
     return Math.min(waitMs, MAX_RETRY_AFTER_MS);
   }
 
+  /** Tokens with those that have accrued `elapsedMs` after the last update. */
+  function getTokens(bucket: Bucket, elapsedMs: number): number {
+    const refill = getRatePerS(bucket) * elapsedMs / 1_000;
+    return Math.min(getBurst(bucket), bucket.tokens + refill);
+  }
+
   /** Adds `newRequests` to the demand and acquires up to `maxTokens` tokens. */
   function acquireTokens(
     bucket: Bucket,
@@ -183,8 +200,7 @@
     const elapsedMs = now - bucket.updatedAtMs;
     if (elapsedMs <= 0) return;
     bucket.updatedAtMs = now;
-    const refill = getRatePerS(bucket) * elapsedMs / 1_000;
-    bucket.tokens = Math.min(getBurst(bucket), bucket.tokens + refill);
+    bucket.tokens = getTokens(bucket, elapsedMs);
     bucket.demand *= Math.exp(-elapsedMs / DEMAND_TIME_CONSTANT_MS);
   }
 
@@ -245,7 +261,8 @@
       const bucket = buckets.get(account.name);
       if (bucket === undefined || bucket.ratePerS <= 0) return "acquired";
       if (acquireTokens(bucket, newRequests, 1) === 1) return "acquired";
-      return { retryAfterMs: getRetryAfterMs(bucket) };
+      const retryAfterMs = getRetryAfterMs(bucket.tokens, getRatePerS(bucket));
+      return { retryAfterMs };
     },
     acquireFor(account, newRequests, maxTokens) {
       const bucket = buckets.get(account);
@@ -253,7 +270,9 @@
       if (bucket === undefined) return { tokens: 0, retryAfterMs: 0 };
       if (bucket.ratePerS <= 0) return { tokens: maxTokens, retryAfterMs: 0 };
       const tokens = acquireTokens(bucket, newRequests, maxTokens);
-      const retryAfterMs = tokens > 0 ? 0 : getRetryAfterMs(bucket);
+      const retryAfterMs = tokens > 0
+        ? 0
+        : getRetryAfterMs(bucket.tokens, getRatePerS(bucket));
       return { tokens, retryAfterMs };
     },
     refund(account) {
@@ -271,6 +290,17 @@
       }
       return demands;
     },
+    tryPeek(account, spendable) {
+      const bucket = buckets.get(account);
+      if (bucket === undefined) return undefined;
+      const elapsedMs = clock.nowMs() - bucket.updatedAtMs;
+      const tokens = elapsedMs > 0
+        ? getTokens(bucket, elapsedMs)
+        : bucket.tokens;
+      const ratePerS = getRatePerS(bucket, spendable);
+      const retryAfterMs = tokens >= 1 ? 0 : getRetryAfterMs(tokens, ratePerS);
+      return { tokens, ratePerS, retryAfterMs };
+    },
     getShare: (account) => buckets.get(account)?.share ?? 0,
     setSpendableShare(share) {
       if (share === spendableShare) return;
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -7,6 +7,7 @@
 import * as EligibleTargets from "./eligible_targets.ts";
 import * as Choice from "./choice.ts";
 import * as PendingRequest from "./pending_request.ts";
+import * as Rejection from "./rejection.ts";
 import type * as GatewayTypes from "./types.ts";
 
 /**
@@ -26,12 +27,15 @@
 export interface Sender {
   /** Candidates of the request that were not tried yet, ordered by rank. */
   getCandidates(
-    pending: PendingRequest.PendingRequest,
+    pending: PendingRequest.RequestFacts,
   ): readonly Choice.Candidate[];
-  /** Time until the first candidate that wants nothing for a while takes requests again, ms; undefined if there is none. */
-  tryGetRefusalMs(candidates: readonly Choice.Candidate[]): number | undefined;
+  /** The rejection of a request for which no candidate was chosen. */
+  createRejection(
+    choice: Extract<Choice.Choice, { readonly kind: "reject" }>,
+    candidates: readonly Choice.Candidate[],
+  ): Rejection.Rejection;
   /** Properties of the request that the choice of a candidate depends on. */
-  getProfile(pending: PendingRequest.PendingRequest): Choice.RequestProfile;
+  getProfile(pending: PendingRequest.RequestFacts): Choice.RequestProfile;
   /** Sends the request to the candidate; resolves when the exchange has ended. */
   send(
     pending: PendingRequest.PendingRequest,
@@ -50,7 +54,7 @@
   const { clock, state } = deps;
 
   function getCandidates(
-    pending: PendingRequest.PendingRequest,
+    pending: PendingRequest.RequestFacts,
   ): readonly Choice.Candidate[] {
     const { route } = pending;
     const eligible = EligibleTargets.getEligibleTargets(
@@ -100,7 +104,7 @@
   }
 
   function getProfile(
-    pending: PendingRequest.PendingRequest,
+    pending: PendingRequest.RequestFacts,
   ): Choice.RequestProfile {
     const { deadlineAtMs, route } = pending;
     const nowMs = clock.nowMs();
@@ -251,6 +255,7 @@
     }
   }
 
+  /** Time until the first candidate that wants nothing for a while takes requests again, ms; undefined if there is none. */
   function tryGetRefusalMs(
     candidates: readonly Choice.Candidate[],
   ): number | undefined {
@@ -264,7 +269,15 @@
 
   return {
     getCandidates,
-    tryGetRefusalMs,
+    createRejection(choice, candidates) {
+      const isFull = choice.reason === "full";
+      const refusalMs = isFull ? undefined : tryGetRefusalMs(candidates);
+      return Rejection.createRejection(
+        isFull ? "queueFull" : "noTarget",
+        "not-run",
+        refusalMs ?? choice.retryAfterMs,
+      );
+    },
     getProfile,
     async send(pending, candidate, profile) {
       const { id } = candidate.target.entry;
--- a/src/gateway/target_limits.ts
+++ b/src/gateway/target_limits.ts
@@ -44,6 +44,8 @@
   recordResponse(target: Types.TargetId, ratePerS: number | undefined): void;
   /** Returns true when this instance may send the target a request now. */
   canSend(target: Types.TargetId): boolean;
+  /** Returns what `canSend` would, and changes nothing. */
+  peekCanSend(target: Types.TargetId): boolean;
   /** Records that a request is sent to the target. */
   recordSend(target: Types.TargetId): void;
   removeTarget(target: Types.TargetId): void;
@@ -95,18 +97,19 @@
   const { clock } = opts;
   const limits = new Map<Types.TargetId, Limit>();
 
-  /** Adds the tokens that have accrued and returns whether one is left. */
-  function accrue(
+  /** The target's tokens, with those that have accrued by now. */
+  function getTokens(
     target: Types.TargetId,
     limit: Limit,
     ratePerS: number,
-  ): boolean {
+  ): number {
     const share = getRateShare(target, ratePerS, opts.getFleetPosition());
-    const nowMs = clock.nowMs();
-    const accrued = share.perS * (nowMs - limit.accruedAtMs) / 1_000;
-    limit.tokens = Math.min(share.permits, limit.tokens + accrued);
-    limit.accruedAtMs = nowMs;
-    return limit.tokens >= 1;
+    const accrued = share.perS * (clock.nowMs() - limit.accruedAtMs) / 1_000;
+    return Math.min(share.permits, limit.tokens + accrued);
+  }
+
+  function isExpired(limit: Limit): boolean {
+    return clock.nowMs() - limit.readAtMs > EXPIRY_MS;
   }
 
   function record(
@@ -137,7 +140,7 @@
   function tryGetLimit(target: Types.TargetId): Limit | undefined {
     const limit = limits.get(target);
     if (limit === undefined) return undefined;
-    if (clock.nowMs() - limit.readAtMs <= EXPIRY_MS) return limit;
+    if (!isExpired(limit)) return limit;
     limits.delete(target);
     return undefined;
   }
@@ -148,7 +151,14 @@
     canSend(target) {
       const limit = tryGetLimit(target);
       if (limit?.ratePerS === undefined) return true;
-      return accrue(target, limit, limit.ratePerS);
+      limit.tokens = getTokens(target, limit, limit.ratePerS);
+      limit.accruedAtMs = clock.nowMs();
+      return limit.tokens >= 1;
+    },
+    peekCanSend(target) {
+      const limit = limits.get(target);
+      if (limit?.ratePerS === undefined || isExpired(limit)) return true;
+      return getTokens(target, limit, limit.ratePerS) >= 1;
     },
     recordSend(target) {
       const limit = tryGetLimit(target);
--- a/src/gateway/target_load.ts
+++ b/src/gateway/target_load.ts
@@ -58,11 +58,28 @@
   getShedShare(target: Types.TargetId): number;
   /** Returns true while the target gets no requests because of failures. */
   isPaused(target: Types.TargetId): boolean;
+  /** What the estimate and a pause rest on; undefined for a target of which nothing is known. */
+  tryGetKnowledge(target: Types.TargetId): LoadKnowledge | undefined;
   /** Ends all pauses, as failures were this instance's own. */
   resumeAll(): void;
   removeTarget(target: Types.TargetId): void;
 }
 
+/** What this instance knows of a target's load. */
+export interface LoadKnowledge {
+  /** Requests of this instance in flight at the target. */
+  readonly inFlight: number;
+  /** The target's last load report to this instance and its age, ms. */
+  readonly report: GatewayTypes.LoadReport | undefined;
+  readonly reportAgeMs: number | undefined;
+  /** Age of the newest report that another instance passed on, ms. */
+  readonly peerReportAgeMs: number | undefined;
+  /** Failed exchanges in a row. */
+  readonly failures: number;
+  /** Remaining time of the pause after failures, ms; 0 without one. */
+  readonly pauseLeftMs: number;
+}
+
 interface Load {
   /** Requests of this instance in flight at the target. */
   inFlight: number;
@@ -210,6 +227,21 @@
       const load = loads.get(target);
       return load !== undefined && load.pausedUntilMs > clock.nowMs();
     },
+    tryGetKnowledge(target) {
+      const load = loads.get(target);
+      if (load === undefined) return undefined;
+      const nowMs = clock.nowMs();
+      const getAgeMs = (atMs: number) =>
+        atMs === -Infinity ? undefined : nowMs - atMs;
+      return {
+        inFlight: load.inFlight,
+        report: load.report,
+        reportAgeMs: getAgeMs(load.reportAtMs),
+        peerReportAgeMs: getAgeMs(load.peerReportAtMs),
+        failures: load.failures,
+        pauseLeftMs: Math.max(0, load.pausedUntilMs - nowMs),
+      };
+    },
     resumeAll: () => loads.forEach(recordHealthy),
     removeTarget: (target) => void loads.delete(target),
   };
--- a/src/result_codes.ts
+++ b/src/result_codes.ts
@@ -399,6 +399,20 @@
     "A file cannot be read or written",
     "Check the path and its permissions",
   ),
+  noSuchAccount: createCode(
+    605,
+    "no-such-account",
+    0,
+    "The configuration has no client account of this name",
+    "Give the account's name, never a key",
+  ),
+  noSuchInstance: createCode(
+    606,
+    "no-such-instance",
+    0,
+    "The peers know no instance of this name",
+    "Check the name with the ones listed",
+  ),
 } as const satisfies Readonly<Record<string, CodeInfo>>;
 
 /** Name of a result code. */
