--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,6 +1,7 @@
 /** Defines the commands and options of `anvilroutectl`. */
 import * as Commander from "commander";
 import type * as Context from "./context.ts";
+import * as Explain from "./explain.ts";
 import * as KeyCommands from "./key_commands.ts";
 import * as KeyWithdraw from "./key_withdraw.ts";
 import * as ReportCommands from "./report_commands.ts";
@@ -201,16 +202,26 @@
   addExamples(
     program.command("explain")
       .description("show how an instance would treat a request")
-      .requiredOption("--service <NAME>", "service")
-      .requiredOption("--account <NAME>", "client account")
-      .requiredOption("--from <REGION>", "region of the caller")
-      .option("--instance <ID>", "instance to ask"),
+      .option("--service <NAME>", "service")
+      .option("--account <NAME>", "client account; never a key")
+      .option(
+        "--from <NAME>",
+        "region of the caller; with --host, instance to ask",
+      )
+      .option("--instance <ID>", "instance to ask")
+      .option("--host <HOST>", "host of a request to the gateway")
+      .option("--path <PATH>", "its path")
+      .option("--method <METHOD>", "its method (default: GET)")
+      .option("--key-object <K>", "its affinity key")
+      .option("--all", "ask all instances and show where they differ"),
     [
       "--config tool.toml explain --service booking --account lakeland " +
       "--from uusimaa",
+      "--config tool.toml explain --host shop.example --path /read/17 " +
+      "--account hut --key-object 17 --all",
     ],
   ).action((opts, command) =>
-    runCommand(command, (ctx) => Status.explain(ctx, opts))
+    runCommand(command, (ctx) => Explain.explain(ctx, opts))
   );
   const report = program.command("report").description("reports");
   addExamples(
