Count queries of explain and log malformed ones

The counter explanations has the queries that an instance answered; explain-malformed names who sent one that can't be read, once in 10 s.

--- a/src/cli/explain_text.ts
+++ b/src/cli/explain_text.ts
@@ -25,17 +25,17 @@
   "rank",
   "target",
   "region",
+  "verdict",
+  "state",
   "busy/slots",
   "report",
-  "state",
   "cached",
   "wait/bound ms",
   "expected ms",
   "cost ms",
-  "verdict",
 ];
 /** Columns of text, which are aligned to the left. */
-const TEXT_COLUMNS = 3;
+const TEXT_COLUMNS = 5;
 
 /** Formats a decision without its rule and delays. */
 export function formatDecision(decision: ExplainTypes.Decision): string {
@@ -99,14 +99,14 @@
     String(candidate.rank),
     candidate.target,
     candidate.region,
+    candidate.verdict,
+    formatState(candidate),
     `${Math.round(candidate.outstanding * 10) / 10}/${candidate.slots}`,
     formatReport(candidate),
-    formatState(candidate),
     `${Math.round(candidate.cacheHitChance * 100)}%`,
     `${candidate.queueWaitMs}/${candidate.waitBoundMs}`,
     String(candidate.expectedMs),
     String(candidate.costMs ?? "none"),
-    candidate.verdict,
   ];
 }
 
--- a/src/gateway/explain.ts
+++ b/src/gateway/explain.ts
@@ -21,8 +21,6 @@
 import * as Sender from "./sender.ts";
 import type * as GatewayTypes from "./types.ts";
 
-/** Method by which the operators' tool asks an instance. */
-export const METHOD = "gateway.explain";
 /** Names listed in an error, so that it stays readable. */
 const MAX_LISTED = 12;
 
@@ -74,8 +72,7 @@
       queueWaitMs: round(Choice.getQueueWaitMs(candidate, profile))!,
       waitBoundMs: round(Choice.getWaitBoundMs(candidate, profile))!,
       expectedMs: round(Choice.getExpectedResponseMs(candidate, profile))!,
-      // A rank beyond the priced ones has an infinite cost, which JSON can't express.
-      costMs: toFinite(Choice.getCostMs(candidate, profile)),
+      costMs: round(Choice.getCostMs(candidate, profile)),
     };
   }
 
@@ -302,10 +299,8 @@
   return `known: ${listed}${omitted > 0 ? ` and ${omitted} more` : ""}`;
 }
 
+/** Rounds to tenths; undefined for an infinite value, which JSON can't express. */
 function round(value: number | undefined): number | undefined {
-  return value === undefined ? undefined : Math.round(value * 10) / 10;
-}
-
-function toFinite(value: number): number | undefined {
-  return Number.isFinite(value) ? round(value) : undefined;
+  const isFinite = value !== undefined && Number.isFinite(value);
+  return isFinite ? Math.round(value * 10) / 10 : undefined;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,7 +13,7 @@
 import * as Control from "./control.ts";
 import * as Directory from "./directory.ts";
 import * as Endpoints from "./endpoints.ts";
-import * as Explain from "./explain.ts";
+import * as ExplainMethod from "./explain_method.ts";
 import * as Forwarder from "./forwarder.ts";
 import * as Intake from "./intake.ts";
 import type * as PendingRequest from "./pending_request.ts";
@@ -269,14 +269,15 @@
   const forwarder = Forwarder.createForwarder(forwarderDeps, responder);
   const intake = Intake.createIntake(forwarderDeps, forwarder, responder);
 
-  peers.handle(
-    Explain.METHOD,
-    Explain.createExplain({
-      deps: forwarderDeps,
-      self: instance.id,
-      getMemberState: () => memberState,
-    }),
-  );
+  ExplainMethod.register({
+    deps: forwarderDeps,
+    self: instance.id,
+    getMemberState: () => memberState,
+    peers,
+    metrics,
+    clock,
+    log,
+  });
 
   const hasDownloads = () => state.getConfig()?.hasDownloads ?? false;
 
--- a/tests/gateway/explain_test.ts
+++ b/tests/gateway/explain_test.ts
@@ -5,6 +5,7 @@
 import * as Choice from "../../src/gateway/choice.ts";
 import * as ColdStart from "../../src/gateway/cold_start.ts";
 import * as Explain from "../../src/gateway/explain.ts";
+import * as ExplainMethod from "../../src/gateway/explain_method.ts";
 import type * as ExplainTypes from "../../src/gateway/explain_types.ts";
 import type * as PendingRequest from "../../src/gateway/pending_request.ts";
 import * as Placement from "../../src/gateway/placement.ts";
@@ -319,10 +320,14 @@
       id: "anvilroutectl",
     });
     addCleanup(client.close);
+    const malformed = await client.call(ExplainMethod.METHOD, [3], 2_000);
+    expect(malformed.unwrap()).toMatchObject({ code: "badRequest" });
+    const { lines } = fleet.instances[0]!;
+    expect(lines.join("\n")).toContain("explain-malformed");
     for (let i = 0; i < 12; i++) {
       const keyObject = `object-${i}`;
       const answer = await client.call<ExplainTypes.Answer>(
-        Explain.METHOD,
+        ExplainMethod.METHOD,
         { ...QUERY, path: "/read/x", keyObject },
         2_000,
       );
