--- a/tests/gateway/explain_test.ts
+++ b/tests/gateway/explain_test.ts
@@ -35,7 +35,10 @@
 const TARGETS = ["t0", "t1", "t2", "t3"];
 
 /** The state of an instance `a1` of four targets, and its explanations; `coordinator` has the account's tokens. */
-function createInstance(coordinator = "a1") {
+function createInstance(
+  coordinator = "a1",
+  reach = { isLimited: false, isStranded: false },
+) {
   const clock = ManualTime.createTime();
   const log = Log.createLogger("error", {}, () => {});
   const state = State.createState({
@@ -88,7 +91,10 @@
       origin: "north",
       demand: new Map([["north", 1]]),
     }),
-    reach: { isLimited: () => false, isStranded: () => false },
+    reach: {
+      isLimited: () => reach.isLimited,
+      isStranded: () => reach.isStranded,
+    },
     retryBudget: RetryBudget.createRetryBudget({ clock }),
     splits: Split.createSplits("a1"),
     statements: TargetStatements.createTargetStatements(clock, log),
@@ -235,6 +241,41 @@
     });
   });
 
+  it("names the delay that targets ask for when all candidates want nothing", () => {
+    const instance = createInstance();
+    for (const id of TARGETS) {
+      instance.deps.statements.recordResponse(
+        { id, startedAtMs: 1 },
+        { isLeaving: false, refusalMs: 2_000 },
+      );
+    }
+    const { candidates, decision } = getExplanation(instance).services[0]!;
+    expect(candidates.map(({ pause }) => pause?.reason))
+      .toEqual(Array(4).fill("wants-nothing"));
+    expect(decision).toMatchObject({
+      kind: "reject",
+      code: 124,
+      rule: "all-paused",
+    });
+    if (decision.kind !== "reject") return;
+    expect(decision.retryAfterMs).toBeGreaterThanOrEqual(2_000);
+  });
+
+  it("says that an instance passes the request on when it reaches no target or can open no connection", () => {
+    const stranded = { isLimited: false, isStranded: true };
+    const { admission } = getExplanation(createInstance("a1", stranded));
+    expect(admission).toEqual({ kind: "relay", rule: "no-target-reached" });
+    const limited = createInstance("a1", {
+      isLimited: true,
+      isStranded: false,
+    });
+    const explanation = getExplanation(limited);
+    expect(explanation.canOpenConnections).toBe(false);
+    const [orders, other] = explanation.services;
+    expect(orders!.decision.kind).toBe("send");
+    expect(other!.decision).toEqual({ kind: "relay", rule: "no-candidate" });
+  });
+
   it("says that the route needs a key when no account is named", () => {
     const { account: _, ...query } = QUERY;
     expect(getExplanation(createInstance(), query).admission)
@@ -320,6 +361,9 @@
       id: "anvilroutectl",
     });
     addCleanup(client.close);
+    // What an instance of a build without the method answers.
+    const unknown = await client.call("gateway.none", QUERY, 2_000);
+    expect(unknown.isErr() && unknown.error.code.number).toBe(203);
     const malformed = await client.call(ExplainMethod.METHOD, [3], 2_000);
     expect(malformed.unwrap()).toMatchObject({ code: "badRequest" });
     const { lines } = fleet.instances[0]!;
