--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -131,15 +131,6 @@
     }
   }
 
-  function getOverloadRequest(
-    { account, route, service }: PendingRequest.PendingRequest,
-  ): Overload.OverloadRequest {
-    const usage = account === undefined
-      ? undefined
-      : deps.accounts.tryGetUsage(account);
-    return { service, timeoutMs: route.timeoutMs, usage };
-  }
-
   /** Asks for admission at the first choice only: a request that a target failed has been admitted. */
   function decideOverload(
     pending: PendingRequest.PendingRequest,
@@ -147,7 +138,7 @@
     profile: Choice.RequestProfile,
   ): Overload.Decision {
     if (pending.triedTargets.size > 0) return { kind: "admit", candidates };
-    const request = getOverloadRequest(pending);
+    const request = PendingRequest.getOverloadRequest(deps, pending);
     return deps.overload.decide(request, candidates, profile);
   }
 
@@ -155,7 +146,7 @@
     pending: PendingRequest.PendingRequest,
     advisedMs: number,
   ): number {
-    const request = getOverloadRequest(pending);
+    const request = PendingRequest.getOverloadRequest(deps, pending);
     return deps.overload.getRetryAfterMs(request, advisedMs);
   }
 
@@ -243,18 +234,12 @@
         if (canRelay && choice.reason === "no-target") {
           return relayAdmitted(pending);
         }
-        const code = choice.reason === "full" ? "queueFull" : "noTarget";
-        const refusalMs = choice.reason === "no-target"
-          ? sender.tryGetRefusalMs(candidates)
-          : undefined;
-        const retryAfterMs = choice.reason === "full"
-          ? getRetryAfterMs(pending, choice.retryAfterMs)
-          : refusalMs ?? choice.retryAfterMs;
-        const rejection = Rejection.createRejection(
-          code,
-          "not-run",
-          retryAfterMs,
-        );
+        const rejection = sender.createRejection(choice, candidates);
+        if (choice.reason === "full") {
+          const retryAfterMs = getRetryAfterMs(pending, choice.retryAfterMs);
+          const delayed = { ...rejection, retryAfterMs };
+          return rejectPending(pending, delayed, choice.reason);
+        }
         return rejectPending(pending, rejection, choice.reason);
       }
       const { candidate } = choice;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import * as Control from "./control.ts";
 import * as Directory from "./directory.ts";
 import * as Endpoints from "./endpoints.ts";
+import * as ExplainMethod from "./explain_method.ts";
 import * as Forwarder from "./forwarder.ts";
 import * as Intake from "./intake.ts";
 import * as Overload from "./overload.ts";
@@ -277,6 +278,16 @@
   const forwarder = Forwarder.createForwarder(forwarderDeps, responder);
   const intake = Intake.createIntake(forwarderDeps, forwarder, responder);
 
+  ExplainMethod.register({
+    deps: forwarderDeps,
+    self: instance.id,
+    getMemberState: () => memberState,
+    peers,
+    metrics,
+    clock,
+    log,
+  });
+
   const hasDownloads = () => state.getConfig()?.hasDownloads ?? false;
 
   /** Logs the load that this instance puts on the store, its peers and targets, in addition to requests. */
--- a/src/gateway/overload.ts
+++ b/src/gateway/overload.ts
@@ -88,6 +88,15 @@
     candidates: readonly Choice.Candidate[],
     profile: Choice.RequestProfile,
   ): Decision;
+  /**
+   * Returns the probability with which the request may go to each candidate, 0 to 1
+   * or more; changes nothing.
+   */
+  getShares(
+    req: OverloadRequest,
+    candidates: readonly Choice.Candidate[],
+    profile: Choice.RequestProfile,
+  ): readonly number[];
   /** Records the load report that came with a response or a rejection of a target. */
   recordReport(
     service: Types.Service,
@@ -102,6 +111,13 @@
   removeTarget(target: Types.TargetId): void;
 }
 
+/** True if the target may get requests, however long its queue is. */
+export function isUsable(
+  { isPaused, isRateLimitReached }: Choice.Candidate,
+): boolean {
+  return !isPaused && !isRateLimitReached;
+}
+
 interface TargetAverage {
   /** Waiting requests for each slot. */
   waiting: number;
@@ -188,6 +204,21 @@
     return share * meanUsage / Math.max(usage, MIN_USAGE);
   }
 
+  function getShares(
+    req: OverloadRequest,
+    candidates: readonly Choice.Candidate[],
+    profile: Choice.RequestProfile,
+  ): readonly number[] {
+    const service = services.get(req.service);
+    if (service === undefined) return candidates.map(() => 1);
+    const primary = candidates.find(isUsable);
+    return candidates.map((candidate) => {
+      const isSpill = candidate !== primary && candidate.rank > 0 &&
+        !Choice.isLikelyCached(candidate);
+      return getAdmission(service, candidate, isSpill, profile, req.usage);
+    });
+  }
+
   function getRetryAfterMs(req: OverloadRequest, advisedMs: number): number {
     if (!isOverloaded(req.service)) return advisedMs;
     const longestMs = req.timeoutMs * MAX_WAIT_SHARE;
@@ -210,19 +241,9 @@
         service.inverseUsage += USAGE_WEIGHT * (inverse - service.inverseUsage);
       }
       const draw = random();
-      const primary = candidates.find((candidate) =>
-        !candidate.isPaused && !candidate.isRateLimitReached
-      );
-      const admitted = candidates.filter((candidate) => {
-        const isSpill = candidate !== primary && candidate.rank > 0 &&
-          !Choice.isLikelyCached(candidate);
-        return draw <
-          getAdmission(service, candidate, isSpill, profile, req.usage);
-      });
-      const isRejected = primary !== undefined &&
-        !admitted.some((candidate) =>
-          !candidate.isPaused && !candidate.isRateLimitReached
-        );
+      const shares = getShares(req, candidates, profile);
+      const admitted = candidates.filter((_, i) => draw < shares[i]!);
+      const isRejected = candidates.some(isUsable) && !admitted.some(isUsable);
       if (!isRejected) return { kind: "admit", candidates: admitted };
       const waitMs = service.waiting * profile.cacheHitMs;
       const advisedMs = Math.min(
@@ -258,6 +279,7 @@
       targets.set(id, target);
       updateOverload(name, service);
     },
+    getShares,
     isOverloaded,
     getRetryAfterMs,
     removeTarget: (id) => void targets.delete(id),
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -88,7 +88,31 @@
   sendCount: number;
 }
 
+/** What the choice of a target depends on. */
+export type RequestFacts = Pick<
+  PendingRequest,
+  | "account"
+  | "affinityKey"
+  | "deadlineAtMs"
+  | "route"
+  | "service"
+  | "triedTargets"
+>;
+
 /** Returns the priority of the account, or else of the route; 0 is the most urgent. */
-export function getPriority({ account, route }: PendingRequest): number {
+export function getPriority(
+  { account, route }: Pick<PendingRequest, "account" | "route">,
+): number {
   return account?.priority ?? route.priority;
 }
+
+/** Returns what the admission under overload depends on. */
+export function getOverloadRequest(
+  { accounts }: Pick<ForwarderDeps, "accounts">,
+  { account, route, service }: RequestFacts,
+): Overload.OverloadRequest {
+  const usage = account === undefined
+    ? undefined
+    : accounts.tryGetUsage(account);
+  return { service, timeoutMs: route.timeoutMs, usage };
+}
