--- a/tests/gateway/explain_test.ts
+++ b/tests/gateway/explain_test.ts
@@ -7,6 +7,7 @@
 import * as Explain from "../../src/gateway/explain.ts";
 import * as ExplainMethod from "../../src/gateway/explain_method.ts";
 import type * as ExplainTypes from "../../src/gateway/explain_types.ts";
+import * as Overload from "../../src/gateway/overload.ts";
 import type * as PendingRequest from "../../src/gateway/pending_request.ts";
 import * as Placement from "../../src/gateway/placement.ts";
 import * as Quota from "../../src/gateway/quota.ts";
@@ -87,6 +88,7 @@
     coldStarts: ColdStart.createColdStarts({ clock, getFleetPosition }),
     getColdRatePerS: () => 15,
     loads: TargetLoad.createTargetLoads(clock),
+    overload: Overload.createOverload({ clock, random: () => 0.5 }),
     placement: Placement.createPlacement({
       origin: "north",
       demand: new Map([["north", 1]]),
@@ -113,6 +115,15 @@
 
 type Instance = ReturnType<typeof createInstance>;
 
+const OVERLOAD_PROFILE: Choice.RequestProfile = {
+  deadlineMs: 2_000,
+  targetLatencyMs: 400,
+  priority: 0,
+  cacheHitMs: 144,
+  cacheMissMs: 480,
+  missCostMs: 336,
+};
+
 function getExplanation(
   { explain }: Instance,
   query: unknown = QUERY,
@@ -151,6 +162,9 @@
     deps.loads.end(id, outcomes[i % 7] ?? "answered");
     trace.push(deps.loads.getOutstanding(id), deps.loads.isPaused(id));
     trace.push(deps.warmups.tryGetRemainingMs("17", id));
+    const load = { running: 4, waiting: i % 40, slots: 4 };
+    deps.overload.recordReport("orders", id, load, OVERLOAD_PROFILE);
+    trace.push(deps.overload.isOverloaded("orders"));
     if (i % 20 === 0) trace.push(quota.getDemands());
   }
   return trace;
@@ -299,6 +313,23 @@
     },
   );
 
+  // Guards against an answer that leaves out the admission under overload.
+  it("states the share of admitted requests and the targets that a key may not spill to", () => {
+    const instance = createInstance();
+    Object.assign(instance.deps.accounts, { tryGetUsage: () => 1 });
+    expect(getExplanation(instance).services[0]!.admittedShare).toBe(1);
+    for (let i = 0; i < 50; i++) {
+      const load = { running: 4, waiting: 20, slots: 4 };
+      const id = TARGETS[i % TARGETS.length]!;
+      instance.deps.overload.recordReport("orders", id, load, OVERLOAD_PROFILE);
+    }
+    const [service] = getExplanation(instance).services;
+    expect(service!.admittedShare).toBeLessThan(1);
+    const verdicts = service!.candidates.map(({ verdict }) => verdict);
+    expect(verdicts.slice(1)).toContain("service-overloaded");
+    expect(verdicts[0]).not.toBe("service-overloaded");
+  });
+
   it("contains no key, also when one is given in the query string", () => {
     const explanation = getExplanation(createInstance());
     expect(JSON.stringify(explanation)).not.toContain("key-hut");
