Split the gate of client connections into modules with one job

The backlogs and their turns, the discarding of bodies, the checks of slow connections and the bounded log are modules of their own; behavior is unchanged.

--- /dev/null
+++ b/src/gated_connection.ts
@@ -0,0 +1,79 @@
+/** A client connection between its socket and the HTTP parser. */
+import type * as Http from "node:http";
+import type * as Net from "node:net";
+import * as Limits from "./connection_limits.ts";
+
+/** Parts of Node's connection of a server that have no public export interface. */
+interface ServerSocket extends Net.Socket {
+  /** True while the HTTP server waits until responses are taken. Its parser must get no bytes then. */
+  readonly _paused?: boolean;
+  /** Bytes that were handed to the kernel or wait in its handle. */
+  readonly _bytesDispatched?: number;
+  readonly _handle?: { readonly writeQueueSize?: number } | null;
+}
+
+/** A connection of a server that a gate watches. */
+export interface Connection extends Limits.ConnectionState {
+  readonly socket: ServerSocket;
+  readonly limits: () => Limits.ConnectionLimits;
+  /** The HTTP server's receiver of bytes. */
+  readonly parse: (data: Buffer) => void;
+  backlog: Buffer[];
+  backlogBytes: number;
+  req: Http.IncomingMessage | undefined;
+  /** Bytes parsed. */
+  parsedBytes: number;
+  /** Bytes that belong to the declared body of the last request for certain. */
+  bodyBytesLeft: number;
+  /** `parsedBytes` at the begin of a chunked body, and the payload since; undefined for other bodies. */
+  chunked: { readonly startBytes: number; payloadBytes: number } | undefined;
+  /** Response to the last request. */
+  res: Http.ServerResponse | undefined;
+  /** `parsedBytes` when the last request was answered. */
+  answeredAtBytes: number;
+  /** True after the request whose response closes the connection; no further one is handled. */
+  isLast: boolean;
+  /** True if the connection closes and nothing more is parsed. */
+  isEnded: boolean;
+}
+
+/** Creates the state of an accepted connection; `parse` is the HTTP server's receiver of bytes. */
+export function createConnection(
+  socket: Net.Socket,
+  parse: (data: Buffer) => void,
+  limits: () => Limits.ConnectionLimits,
+): Connection {
+  return {
+    ...Limits.createConnectionState(performance.now()),
+    socket,
+    limits,
+    parse: parse.bind(socket),
+    backlog: [],
+    backlogBytes: 0,
+    req: undefined,
+    parsedBytes: 0,
+    bodyBytesLeft: 0,
+    chunked: undefined,
+    res: undefined,
+    answeredAtBytes: 0,
+    isLast: false,
+    isEnded: false,
+  };
+}
+
+/** True if the consumer of the body takes no bytes now. */
+export function isBodyBlocked({ req }: Connection): boolean {
+  return req !== undefined && !req.complete &&
+    req.readableLength >= req.readableHighWaterMark;
+}
+
+/** True if what the connection still receives is not parsed. */
+export function isOver(conn: Connection): boolean {
+  return conn.isEnded || conn.socket.destroyed ||
+    (conn.isLast && !conn.isReadingBody);
+}
+
+/** True if the request of the body that arrives was answered. */
+export function isDiscarding({ isReadingBody, res }: Connection): boolean {
+  return isReadingBody && res?.writableFinished === true;
+}
