Keep request bodies and discarded bytes within the memory of the machine

Crowds whose bodies stop short reached 167 to 171 MB on a machine of 150 MB. Bodies could use three tenths of the whole memory, whatever the process itself uses, and up to 14 MB were read of bodies that are discarded and then held.

Bodies now get 0.48 of what the process (75 MB) and uncollected read buffers (32 MB) leave: 68 MB on 250 MB, so that the longest body by default fits, 20 MB on 150 MB, and at least 12 MB or three tenths of the memory, as before. Reading stops before a discard has to wait, and what was read is parsed at once.

--- a/src/body_discards.ts
+++ b/src/body_discards.ts
@@ -8,10 +8,12 @@
 const DISCARD_BYTES_PER_S = 4_000_000;
 const MAX_DISCARD_BURST_BYTES = 4_000_000;
 const DISCARD_INTERVAL_MS = 50;
+/** Most that one read of a connection returns. */
+const READ_BYTES = 64 * 1_024;
 
 /** The rate at which bodies are discarded. */
 export interface BodyDiscards {
-  /** False if the connection has to wait until more may be discarded; `resume` is called for it then. */
+  /** False if the connection has to wait, without reading, until more may be discarded; `resume` is called for it then. */
   mayDiscard(conn: GatedConnection.Connection): boolean;
   /** Records bytes that are about to be parsed. */
   record(conn: GatedConnection.Connection, bytes: number): void;
@@ -33,9 +35,16 @@
     timer = undefined;
     const bytes = DISCARD_BYTES_PER_S * DISCARD_INTERVAL_MS / 1_000;
     availableBytes = Math.min(availableBytes + bytes, MAX_DISCARD_BURST_BYTES);
-    for (const conn of waiting) resume(conn);
-    waiting.clear();
-    if (availableBytes < MAX_DISCARD_BURST_BYTES) scheduleRefill();
+    // If all read at once, each would hold a read that may not be discarded yet.
+    let expectedBytes = 0;
+    for (const conn of waiting) {
+      if (expectedBytes >= availableBytes) break;
+      expectedBytes += READ_BYTES;
+      waiting.delete(conn);
+      resume(conn);
+    }
+    const isFull = availableBytes === MAX_DISCARD_BURST_BYTES;
+    if (!isFull || waiting.size > 0) scheduleRefill();
   }
 
   function scheduleRefill(): void {
--- a/src/connection_backlogs.ts
+++ b/src/connection_backlogs.ts
@@ -71,8 +71,7 @@
     const { socket } = conn;
     return conn.backlogBytes > 0 && socket._paused !== true &&
       !socket.writableNeedDrain && !GatedConnection.isBodyBlocked(conn) &&
-      Limits.mayParse(conn, opts.isCrowded(), conn.limits()) &&
-      discards.mayDiscard(conn);
+      Limits.mayParse(conn, opts.isCrowded(), conn.limits());
   }
 
   function takeSlice(conn: GatedConnection.Connection): Buffer {
@@ -164,6 +163,9 @@
     const maxBytes = totalBacklogBytes > MAX_TOTAL_BACKLOG_BYTES
       ? MAX_SHORT_BACKLOG_BYTES
       : MAX_BACKLOG_BYTES;
+    // What was read of a body that is discarded is parsed at once, as holding it costs more.
+    if (discards.mayDiscard(conn)) GatedConnection.startReading(conn);
+    else GatedConnection.stopReading(conn);
     if (conn.backlogBytes >= maxBytes) socket.pause();
     // The HTTP server resumes what it has paused.
     else if (socket.isPaused() && socket._paused !== true) socket.resume();
--- a/src/connection_checks.ts
+++ b/src/connection_checks.ts
@@ -46,7 +46,7 @@
           receivedBytes: socket.bytesRead,
           sentBytes: (socket._bytesDispatched ?? 0) - pendingBytes,
           isSending: socket.writableLength > 0,
-          isHeldBack: conn.backlogBytes > 0,
+          isHeldBack: conn.backlogBytes > 0 || conn.isReadStopped,
         },
         nowMs,
         limits,
--- a/src/gated_connection.ts
+++ b/src/gated_connection.ts
@@ -9,7 +9,12 @@
   readonly _paused?: boolean;
   /** Bytes that were handed to the kernel or wait in its handle. */
   readonly _bytesDispatched?: number;
-  readonly _handle?: { readonly writeQueueSize?: number } | null;
+  readonly _handle?: {
+    readonly writeQueueSize?: number;
+    reading: boolean;
+    readStart(): void;
+    readStop(): void;
+  } | null;
 }
 
 /** A connection of a server that a gate watches. */
@@ -33,6 +38,8 @@
   answeredAtBytes: number;
   /** True after the request whose response closes the connection; no further one is handled. */
   isLast: boolean;
+  /** True while nothing is read from the kernel, though the stream flows. */
+  isReadStopped: boolean;
   /** True if the connection closes and nothing more is parsed. */
   isEnded: boolean;
 }
@@ -57,6 +64,7 @@
     res: undefined,
     answeredAtBytes: 0,
     isLast: false,
+    isReadStopped: false,
     isEnded: false,
   };
 }
@@ -77,3 +85,26 @@
 export function isDiscarding({ isReadingBody, res }: Connection): boolean {
   return isReadingBody && res?.writableFinished === true;
 }
+
+/** Stops reading from the kernel; a paused stream would still read up to 64 kB and hold them. */
+export function stopReading(conn: Connection): void {
+  if (conn.isReadStopped) return;
+  conn.isReadStopped = true;
+  // The stream starts the next read after its data listeners have run.
+  queueMicrotask(() => {
+    const { _handle: handle } = conn.socket;
+    if (!conn.isReadStopped || !handle?.reading) return;
+    handle.reading = false;
+    handle.readStop();
+  });
+}
+
+/** Reads from the kernel again. */
+export function startReading(conn: Connection): void {
+  if (!conn.isReadStopped) return;
+  conn.isReadStopped = false;
+  const { _handle: handle } = conn.socket;
+  if (!handle || handle.reading) return;
+  handle.reading = true;
+  handle.readStart();
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -55,8 +55,6 @@
 const RESPONSE_MEMORY_SHARE = 0.2;
 /** Longest single response, bytes. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
-/** Share of the machine's memory that request bodies may use until their requests have ended. */
-const BODY_MEMORY_SHARE = 0.3;
 /** Invalid responses of one address are logged at most once in this time. */
 const INVALID_RESPONSE_LOG_MS = 1_000;
 /** Interval of the usage log line; short enough to show changes within minutes, at negligible cost. */
@@ -166,7 +164,7 @@
     MAX_RESPONSE_BYTES,
   );
   const bodyMemory = MemoryBudget.createMemoryBudget(
-    instance.memoryBytes * BODY_MEMORY_SHARE,
+    MemoryBudget.getBodyBytes(instance.memoryBytes),
   );
 
   /** Opens a connection to the target and keeps it for later requests. */
--- a/src/gateway/memory_budget.ts
+++ b/src/gateway/memory_budget.ts
@@ -9,6 +9,25 @@
  * ones, and a body that doesn't fit is rejected rather than those that nearly arrived.
  */
 
+/** Resident memory of a process without requests: 65 to 80 MB at start. */
+const PROCESS_BYTES = 75_000_000;
+/** Buffers of reads that are not collected yet: V8 collects after the external memory has grown by 32 MB. */
+const READ_GARBAGE_BYTES = 32_000_000;
+/** Share of the rest for request bodies: on a machine of 250 MB, the longest body by default (67.1 MB) still fits. */
+const BODY_SHARE = 0.48;
+/** Memory for request bodies if the rest is small: two bodies of 5 MB fit, as they did before. */
+const MIN_BODY_BYTES = 12_000_000;
+/** Share of the whole that this may be. */
+const MAX_MIN_BODY_SHARE = 0.3;
+
+/** Returns the memory that request bodies may use on a machine until their requests have ended. */
+export function getBodyBytes(memoryBytes: number): number {
+  return Math.max(
+    (memoryBytes - PROCESS_BYTES - READ_GARBAGE_BYTES) * BODY_SHARE,
+    Math.min(MIN_BODY_BYTES, memoryBytes * MAX_MIN_BODY_SHARE),
+  );
+}
+
 /** Memory of one response or body. */
 export interface MemoryHolding {
   /** Records that `bytes` more are held; may abort this or another holding. */
--- a/tests/gateway/memory_budget_test.ts
+++ b/tests/gateway/memory_budget_test.ts
@@ -52,3 +52,13 @@
     expect(aborted).toEqual(["c", "d"]);
   });
 });
+
+describe("memory for request bodies", () => {
+  // Guards against a share that, beside the process and its read buffers, exceeds a small machine.
+  it("is what the process and its read buffers leave, and holds the longest body by default on 250 MB", () => {
+    const longestBytes = 64 * 1_024 * 1_024;
+    expect(MemoryBudget.getBodyBytes(250e6)).toBeGreaterThan(longestBytes);
+    expect(MemoryBudget.getBodyBytes(150e6)).toBeLessThan(150e6 - 107e6);
+    expect(MemoryBudget.getBodyBytes(80e6)).toBeGreaterThan(0);
+  });
+});
