Limit the client connections of the daemon

The daemon only had a fixed maximum of 20,000 connections; pipelines, slow bodies and readers and chunk framing were not limited. Its callers' and probe listeners now share one gate, as on the gateway. The new setting limits.max_connections has the former maximum as its default. A malformed head behind running requests closes the connection after their responses; before, it was answered at once as unknown.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -35,6 +35,7 @@
 import * as Table from "../table/table.ts";
 import * as Targets from "../targets/targets.ts";
 import type * as Types from "../types.ts";
+import * as CallerLimits from "./caller_limits.ts";
 import * as Directory from "./directory.ts";
 import * as HeartbeatState from "./heartbeat.ts";
 import * as QueueWake from "./queue_wake.ts";
@@ -222,15 +223,22 @@
   Rpc.registerMethods({ deps, heartbeat, steering, budgets, metrics, peers });
 
   const peerAddress = await peers.listen();
+  const callerLimits = CallerLimits.createCallerLimits(
+    cfg.limits,
+    metrics,
+    log,
+  );
   const callerListener = await Servers.startCallerListener(
     cfg.listen.caller,
     { lookup, service: Admission.createAdmission(deps) },
     log,
+    callerLimits,
   );
   const probeListener = await Servers.startProbeListener(
     cfg.listen.probe,
     metrics,
     heartbeat.getState,
+    callerLimits,
   );
   heartbeat.setAddresses(callerListener.address, peerAddress);
   heartbeat.setSources({
@@ -247,6 +255,7 @@
     "peer-usage",
     PEER_USAGE_INTERVAL_MS,
     () => {
+      metrics.gauge("clientConnections", callerLimits.gate.getCount());
       metrics.gauge("peerMessagesDiscarded", peers.getDiscardedCount());
       const usage = Drops.formatUsage(peers.getSendUsage());
       for (const [name, value] of Object.entries(usage)) {
@@ -295,6 +304,7 @@
     await peers.close();
     await deps.exchanger.close();
     await probeListener.close();
+    callerLimits.gate.close();
     await platform.close();
   }
 
--- a/src/daemon/servers.ts
+++ b/src/daemon/servers.ts
@@ -1,17 +1,19 @@
 /** HTTP listeners for callers (lookup, forwarding) and for operators' probes. */
 import * as Http from "node:http";
 import type * as Net from "node:net";
+import type * as ConnectionGate from "../connection_gate.ts";
+import type * as ConnectionLimits from "../connection_limits.ts";
 import type * as Contracts from "../contracts.ts";
 import * as Respond from "../forward/respond.ts";
 import * as HttpConnections from "../http_connections.ts";
 import type * as Log from "../log.ts";
 import type * as Types from "../types.ts";
+import * as CallerLimits from "./caller_limits.ts";
 
 const MAX_HEADER_BYTES = 16 * 1024;
-/** A caller that sends its headers more slowly occupies a connection without use. */
-const HEADERS_TIMEOUT_MS = 10_000;
 const KEEP_ALIVE_TIMEOUT_MS = 4_000;
-const MAX_CONNECTIONS = 20_000;
+/** The default of 30 s would leave a head three times its time. */
+const HEAD_CHECK_INTERVAL_MS = 500;
 const LISTEN_BACKLOG = 1_024;
 
 /** A running listener. */
@@ -72,10 +74,6 @@
   hasRequestInProgress: boolean,
 ): void {
   const outcome: Types.Outcome = hasRequestInProgress ? "unknown" : "not-run";
-  if (err.code === "ECONNRESET" || !socket.writable) {
-    socket.destroy();
-    return;
-  }
   const isTooLarge = err.code === "HPE_HEADER_OVERFLOW";
   const status = isTooLarge
     ? "431 Request Header Fields Too Large"
@@ -95,6 +93,8 @@
 
 async function startListener(
   address: Types.Address,
+  gate: ConnectionGate.ConnectionGate,
+  limits: ConnectionLimits.ConnectionLimits,
   onRequest: (req: Http.IncomingMessage, res: Http.ServerResponse) => void,
 ): Promise<HttpListener> {
   let isClosing = false;
@@ -103,12 +103,18 @@
   const server = Http.createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: HEADERS_TIMEOUT_MS,
+      headersTimeout: limits.headerTimeoutMs,
+      connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
       // The request's deadline limits the time for its body.
       requestTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     },
     (req, res) => {
+      // Without a listener, a connection error would end the process.
+      req.on("error", () => {});
+      res.on("error", () => {});
+      if (isClosing) res.shouldKeepAlive = false;
+      if (!admit(req, res)) return;
       const { socket } = req;
       requestCounts.set(socket, (requestCounts.get(socket) ?? 0) + 1);
       res.once("close", () => {
@@ -116,21 +122,28 @@
         if (remaining > 0) requestCounts.set(socket, remaining);
         else requestCounts.delete(socket);
       });
-      if (isClosing) res.shouldKeepAlive = false;
       onRequest(req, res);
     },
   );
   const connections = HttpConnections.trackConnections(server);
+  const admit = gate.watch(server, () => limits);
   // In a pipeline only the first response closes with the connection.
   server.on("connection", (socket: Net.Socket) => {
     socket.once("close", () => requestCounts.delete(socket));
   });
-  server.maxConnections = MAX_CONNECTIONS;
-  server.on(
-    "clientError",
-    (err, socket: Net.Socket) =>
-      rejectMalformedRequest(err, socket, requestCounts.has(socket)),
-  );
+  server.on("clientError", (err: NodeJS.ErrnoException, socket: Net.Socket) => {
+    if (err.code === "ECONNRESET" || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const action = gate.handleParseError(err, socket);
+    if (action === "ignore") return;
+    if (action === "destroy") {
+      socket.destroy();
+      return;
+    }
+    rejectMalformedRequest(err, socket, requestCounts.has(socket));
+  });
   return {
     address: await listen(server, address),
     getInFlight: () =>
@@ -150,11 +163,9 @@
   address: Types.Address,
   handlers: CallerHandlers,
   log: Log.Logger,
+  limits: CallerLimits.CallerLimits = CallerLimits.createDefaultLimits(log),
 ): Promise<HttpListener> {
-  return startListener(address, (req, res) => {
-    // Without a listener, a connection error would end the process.
-    req.on("error", () => {});
-    res.on("error", () => {});
+  return startListener(address, limits.gate, limits.callers, (req, res) => {
     const url = req.url ?? "";
     if (url.startsWith("/s/")) {
       handlers.service(req, res).catch((err) => {
@@ -193,8 +204,9 @@
   address: Types.Address,
   metrics: Contracts.Metrics,
   getState: () => Types.MemberState,
+  limits: CallerLimits.CallerLimits,
 ): Promise<HttpListener> {
-  return startListener(address, (req, res) => {
+  return startListener(address, limits.gate, limits.probes, (req, res) => {
     switch (req.url) {
       case "/healthz": {
         const state = getState();
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -57,6 +57,8 @@
     readonly bufferBytes: number;
     readonly ledgerEntries: number;
     readonly ledgerBytes: number;
+    /** Connections of callers and probes together. */
+    readonly maxConnections: number;
   };
   readonly log: { readonly level: "debug" | "info" | "warn" | "error" };
 }
@@ -159,6 +161,7 @@
         1e9,
         16 * 1024 * 1024,
       ),
+      maxConnections: r.integer("limits.max_connections", 100, 1e6, 20_000),
     },
     log: {
       level: r.choice("log.level", ["debug", "info", "warn", "error"], "info"),
--- a/testing/harness/settings.ts
+++ b/testing/harness/settings.ts
@@ -62,6 +62,7 @@
       buffer_bytes: opts.limits?.bufferBytes,
       ledger_entries: opts.limits?.ledgerEntries,
       ledger_bytes: opts.limits?.ledgerBytes,
+      max_connections: opts.limits?.maxConnections,
     },
     log: { level: opts.logLevel },
   };
