--- a/src/connection_gate.ts
+++ b/src/connection_gate.ts
@@ -134,7 +134,7 @@
     if (connections.size < opts.maxConnections) return true;
     const evicted = Limits.tryChooseEvicted(connections.values());
     if (evicted === undefined) {
-      opts.count("connections");
+      limitLog.record(socket, "connections");
       socket.destroy();
       return false;
     }
