Hold less of what was read and can't be parsed yet

Chunked bodies are parsed in slices of 1 kB, so their backlogs fill, and a paused stream reads another 64 kB and holds them; buffers were 45 MB beside 20 MB for bodies. Reading from the kernel now stops as soon as a backlog is full, and backlogs are short from a total of 2 MB on.

--- a/src/connection_backlogs.ts
+++ b/src/connection_backlogs.ts
@@ -13,7 +13,7 @@
 /** Backlog of one connection once all backlogs together are long. */
 const MAX_SHORT_BACKLOG_BYTES = 16 * 1_024;
 /** Total of the backlogs from which each must be short. */
-const MAX_TOTAL_BACKLOG_BYTES = 8 * 1_024 * 1_024;
+const MAX_TOTAL_BACKLOG_BYTES = 2 * 1_024 * 1_024;
 /** Bytes of a body of declared length that are passed on at once. */
 const BODY_SLICE_BYTES = 64 * 1_024;
 /** Requests from backlogs in an iteration of the event loop; their handling goes on after the turns. */
@@ -164,11 +164,11 @@
       ? MAX_SHORT_BACKLOG_BYTES
       : MAX_BACKLOG_BYTES;
     // What was read of a body that is discarded is parsed at once, as holding it costs more.
-    if (discards.mayDiscard(conn)) GatedConnection.startReading(conn);
-    else GatedConnection.stopReading(conn);
-    if (conn.backlogBytes >= maxBytes) socket.pause();
+    const hasRoom = conn.backlogBytes < maxBytes && discards.mayDiscard(conn);
+    if (!hasRoom) return GatedConnection.stopReading(conn);
+    GatedConnection.startReading(conn);
     // The HTTP server resumes what it has paused.
-    else if (socket.isPaused() && socket._paused !== true) socket.resume();
+    if (socket.isPaused() && socket._paused !== true) socket.resume();
   }
 
   function resume(conn: GatedConnection.Connection): void {
