--- a/tests/gateway/status_budget_test.ts
+++ b/tests/gateway/status_budget_test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "vitest";
 import * as SendBudget from "../../src/peer/send_budget.ts";
+import * as LoadExchange from "../../src/gateway/load_exchange.ts";
 import * as StatusGossip from "../../src/gateway/status_gossip.ts";
 import * as ManualTime from "../../testing/fakes/manual_time.ts";
 
@@ -19,7 +20,7 @@
   const lastSentAtMs = new Map<string, number>();
   let dropped = 0;
   let longestGapMs = 0;
-  let sendAll = () => {};
+  const tasks = new Map<string, () => void>();
   const local = range(Math.ceil(instanceCount / 6) - 1, "east-1");
   const isLarge = instanceCount > 24;
   const remote = new Map(
@@ -30,6 +31,10 @@
   const live = Object.fromEntries(
     local.map((id, i) => [id, `127.100.200.${100 + i}:18443`]),
   );
+  const loadBytes = Math.floor(
+    LoadExchange.BUDGET_BYTES_PER_S * LoadExchange.INTERVAL_MS / 1_000 /
+      Math.max(1, local.length),
+  );
   const demands = Object.fromEntries(
     range(ACCOUNTS, "account").map((name, i) => [name, 1.2345678 + i]),
   );
@@ -78,12 +83,19 @@
             ageMs: 1_000,
           })),
       },
+      // The largest messages that the exchange of load reports sends.
+      loadExchange: {
+        createMessages: () =>
+          local.map((to) => ({ to, params: { loads: "x".repeat(loadBytes) } })),
+        receive() {},
+      },
       quota: { getDemands: () => demands },
       pool: { getCoordinator: () => "east-1-hub" },
       domain: "east-1",
       getConnected: () => ({ local, remote }),
       supervisor: {
-        every: (_name: string, _delay: unknown, fn: () => void) => sendAll = fn,
+        every: (name: string, _delay: unknown, fn: () => void) =>
+          tasks.set(name, fn),
       },
       clock,
       // Only what the gossip uses when it sends.
@@ -91,8 +103,15 @@
   );
   gossip.start();
   for (let ms = 0; ms < SECONDS * 1_000; ms += gossip.getIntervalMs()) {
-    sendAll();
+    tasks.get("pulse")?.();
     gossip.sendWithHeartbeats();
+    for (
+      let at = 0;
+      at < gossip.getIntervalMs();
+      at += LoadExchange.INTERVAL_MS
+    ) {
+      tasks.get("loads")?.();
+    }
     await clock.advance(gossip.getIntervalMs());
   }
   const perPeer = [...bytesByPeer.values()].map((bytes) => bytes / SECONDS);
