--- a/review/stand-ins-2/lab.mjs
+++ b/review/stand-ins-2/lab.mjs
@@ -53,13 +53,21 @@
   });
 }
 
+/** Addresses that the machines of a case use. */
+const MACHINE_IPS = [11, 12, 13, 14].map((n) => `127.0.0.${n}`);
+
 /** Ports that are free at this moment on all loopback addresses: front, ready, control, directory, and the first of two internal ones. */
 export async function findPorts() {
   const servers = [];
   const hold = async (port = 0) => {
     const server = Net.createServer();
-    const bound = await listen(server, "0.0.0.0", port);
+    const bound = await listen(server, "127.0.0.1", port);
     servers.push(server);
+    for (const ip of MACHINE_IPS) {
+      const other = Net.createServer();
+      await listen(other, ip, bound);
+      servers.push(other);
+    }
     return bound;
   };
   const ports = [await hold(), await hold(), await hold(), await hold()];
@@ -209,7 +217,7 @@
         return answer(404, {});
     }
   }
-  const server = Http.createServer((req, res) => {
+  const answerCall = (req, res) => {
     const chunks = [];
     req.on("error", () => {});
     res.on("error", () => {});
@@ -241,13 +249,19 @@
         4,
       );
     });
-  });
-  server.keepAliveTimeout = 60000;
-  server.on("connection", (socket) => {
-    sockets.add(socket);
-    socket.on("close", () => sockets.delete(socket));
-  });
-  const port = await listen(server, "0.0.0.0");
+  };
+  /** One server for each machine's address of the store. */
+  const servers = [];
+  let port = 0;
+  for (const ip of MACHINE_IPS.map(getStoreIp)) {
+    const server = Http.createServer({ keepAliveTimeout: 60000 }, answerCall);
+    server.on("connection", (socket) => {
+      sockets.add(socket);
+      socket.on("close", () => sockets.delete(socket));
+    });
+    port = await listen(server, ip, port);
+    servers.push(server);
+  }
   return {
     /** The address for a machine. Each has its own, so that the store can tell them apart. */
     getAddress: (ip) => `${getStoreIp(ip)}:${port}`,
@@ -288,7 +302,7 @@
     close() {
       for (const { timer } of leases.values()) clearTimeout(timer);
       sockets.forEach((socket) => socket.destroy());
-      server.close();
+      servers.forEach((server) => server.close());
     },
   };
 }
