A connection never carries a request again that was rejected on it

Cause: a response was matched to its exchange by the id of the request alone, which all sends of a request share, and the second send got the connection of the first. A copy of the first 421, written before the response to the second send, passed as "not run".

Ruled out: a copy that arrives together with the first response, which the check of idle connections finds, and the response of another request, whose id differs.

Change: a connection keeps the ids of the requests that were rejected or failed on it and is not given to them again; after 64 ids it is closed. It covers second and third sends and callers that repeat a request under its id. Requests without an id use no connection twice.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -18,6 +18,8 @@
 const MAX_IDLE_MS = 8_000;
 /** An attempt to connect times out after two round trips and this margin. */
 const CONNECT_MARGIN_MS = 250;
+/** Statuses from this one on are failures, after which a request may be sent again. */
+const MIN_FAILURE_STATUS = 500;
 
 /** Returns the time after which an attempt to connect fails, ms. */
 export function getConnectTimeoutMs(roundTripMs: number): number {
@@ -94,7 +96,11 @@
     const maxIdleMs = args.isRepeatable
       ? MAX_IDLE_MS
       : MAX_IDLE_NON_REPEATABLE_MS;
-    const idle = connections.tryAcquireIdle(args.address, maxIdleMs);
+    const idle = connections.tryAcquireIdle(
+      args.address,
+      maxIdleMs,
+      args.requestId,
+    );
     if (idle !== undefined) return idle;
     const startedAtMs = clock.nowMs();
     const timeoutMs = getConnectTimeoutMs(args.roundTripMs);
@@ -173,9 +179,13 @@
             const reason = "the answer belongs to no request";
             return { kind: "broke", reason, connectionLoss: undefined };
           }
-          if (fields.isClosing) connections.destroy(conn);
-          else connections.release(conn);
-          if (!fields.isNotRun && !fields.isMisdirected) {
+          const hasRun = !fields.isNotRun && !fields.isMisdirected;
+          const isDone = hasRun && response.status < MIN_FAILURE_STATUS;
+          // Nothing tells copies of responses to requests without ids apart.
+          const isReusable = !fields.isClosing && args.requestId !== undefined;
+          if (!isReusable) connections.destroy(conn);
+          else connections.release(conn, isDone ? undefined : args.requestId);
+          if (hasRun) {
             return { kind: "response", response, fields };
           }
           const { isMisdirected } = fields;
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -3,6 +3,10 @@
  * reused only after a complete response to its own request; any other event on it
  * destroys it. An undici client is not allowed to connect a second time, because it
  * would then send a request again without the gateway's knowledge.
+ *
+ * A connection on which a request was rejected, or failed, never carries it again. A
+ * target may write its response once more, and only the id of the request tells that
+ * copy from the response to a later exchange. All sends of a request have the same id.
  */
 import * as Net from "node:net";
 import type * as Undici from "undici";
@@ -20,6 +24,8 @@
 const DEFAULT_KEEP_ALIVE_MS = 4_000;
 /** After a target sent bytes that belong to no request, its connections carry one exchange each for this time. */
 const REUSE_SUSPENSION_MS = 10_000;
+/** A connection on which this many requests were rejected is closed, which bounds their ids. */
+const MAX_REJECTED_IDS = 64;
 const CONNECTION_CLOSED = new Error("connection is closed");
 const EXCESS_BYTES = new Error("target sends bytes that are no response");
 
@@ -36,6 +42,8 @@
   hasFailed: boolean;
   /** True while an exchange uses the connection. */
   isBusy: boolean;
+  /** Ids of the requests that may be sent again, but not on this connection. */
+  readonly rejectedIds: Set<string>;
   readonly overhead: OverheadGuard.OverheadGuard;
   /** Begins the check of the response to the next request. */
   readonly startResponse: () => void;
@@ -50,10 +58,14 @@
 
 /** Pool of connections to all targets. */
 export interface Connections {
-  /** Removes and returns an idle connection that was used at most `maxIdleMs` ago; undefined if there is none. */
+  /**
+   * Removes and returns an idle connection that was used at most `maxIdleMs` ago and on
+   * which the request was not rejected; undefined if there is none.
+   */
   tryAcquireIdle(
     address: Types.Address,
     maxIdleMs: number,
+    requestId: string | undefined,
   ): TargetConnection | undefined;
   /** Opens a connection; resolves with a failure after `timeoutMs` or a cancellation. */
   open(
@@ -61,8 +73,11 @@
     timeoutMs: number,
     cancellation: Cancellation.Cancellation,
   ): Promise<TargetConnection | ConnectFailure>;
-  /** Keeps the connection for reuse, unless reuse is suspended for its target. */
-  release(conn: TargetConnection): void;
+  /**
+   * Keeps the connection for reuse, unless reuse is suspended for its target. The
+   * request `rejectedId` gets another connection when it is sent again.
+   */
+  release(conn: TargetConnection, rejectedId?: string): void;
   /** Closes the connection immediately. */
   destroy(conn: TargetConnection): void;
   /** Returns a check whether any of the connections to the address that are open now is still open. */
@@ -206,13 +221,13 @@
   }
 
   return {
-    tryAcquireIdle(address, maxIdleMs) {
-      const idle = idleByAddress.get(address);
-      const conn = idle?.at(-1);
-      if (idle === undefined || conn === undefined) return undefined;
+    tryAcquireIdle(address, maxIdleMs, requestId) {
+      const conn = idleByAddress.get(address)?.findLast(({ rejectedIds }) =>
+        requestId === undefined || !rejectedIds.has(requestId)
+      );
+      if (conn === undefined) return undefined;
       if (clock.nowMs() - conn.idleSinceMs > maxIdleMs) return undefined;
-      idle.pop();
-      if (idle.length === 0) idleByAddress.delete(address);
+      removeIdle(conn);
       return conn;
     },
     async open(address, timeoutMs, cancellation) {
@@ -227,6 +242,7 @@
         idleSinceMs: clock.nowMs(),
         hasFailed: false,
         isBusy: false,
+        rejectedIds: new Set(),
         overhead: OverheadGuard.watchOverhead(
           socket,
           () => socket.destroy(EXCESS_BYTES),
@@ -241,10 +257,14 @@
       removeOnClose(conn);
       return conn;
     },
-    release(conn) {
+    release(conn, rejectedId) {
       const isReuseSuspended =
         (reuseSuspendedUntilMs.get(conn.address) ?? -Infinity) > clock.nowMs();
-      if (conn.socket.destroyed || isReuseSuspended) return destroy(conn);
+      if (rejectedId !== undefined) conn.rejectedIds.add(rejectedId);
+      const isUsedUp = conn.rejectedIds.size >= MAX_REJECTED_IDS;
+      if (conn.socket.destroyed || isReuseSuspended || isUsedUp) {
+        return destroy(conn);
+      }
       conn.idleSinceMs = clock.nowMs();
       const idle = idleByAddress.get(conn.address);
       if (idle === undefined) idleByAddress.set(conn.address, [conn]);
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -158,7 +158,12 @@
     const maxIdleMs = req.isRepeatable
       ? MAX_IDLE_MS
       : MAX_IDLE_NON_REPEATABLE_MS;
-    const idle = connections.tryAcquireIdle(callerAddress, maxIdleMs);
+    // Instances write each response once, so that its copy can't be taken for another.
+    const idle = connections.tryAcquireIdle(
+      callerAddress,
+      maxIdleMs,
+      undefined,
+    );
     if (idle !== undefined) return idle;
     const timeoutMs = Attempt.getConnectTimeoutMs(opts.getRoundTripMs(region));
     return await connections.open(callerAddress, timeoutMs, req.cancellation);
--- a/tests/gateway/attempt_test.ts
+++ b/tests/gateway/attempt_test.ts
@@ -52,7 +52,7 @@
     });
     return {
       getConnectionCount: () => connectionCount,
-      send: (id: string) =>
+      send: (id: string | undefined) =>
         attempts.send({
           targetId: "i-1",
           address: `127.0.0.1:${port}`,
@@ -60,7 +60,7 @@
           request: {
             method: "POST",
             path: "/order/x",
-            headers: ["x-request-id", id],
+            headers: id === undefined ? [] : ["x-request-id", id],
             body: undefined,
           },
           requestId: id,
@@ -96,6 +96,40 @@
       expect(getConnectionCount()).toBe(2);
     });
 
+    // Guards against "not run" for the second send of a request: the copy has its id, too.
+    it("sends a request again on another connection, to which no copy belongs", async () => {
+      const { getConnectionCount, send } = await start([
+        formatRejection("1"),
+        formatResponse("1"),
+        formatRejection("1") + formatResponse("2"),
+      ]);
+      expect((await send("1")).kind).toBe("not-run");
+      expect((await send("1")).kind).toBe("response");
+      expect(getConnectionCount()).toBe(2);
+      // Other requests use the connections of the first one.
+      expect((await send("2")).kind).toBe("broke");
+      expect(getConnectionCount()).toBe(2);
+    });
+
+    // Guards against a list of ids that grows for as long as the connection is used.
+    it("opens another connection after many rejections on one", async () => {
+      const ids = Array.from({ length: 100 }, (_, index) => `id-${index}`);
+      const { getConnectionCount, send } = await start(
+        ids.map(formatRejection),
+      );
+      for (const id of ids) expect((await send(id)).kind).toBe("not-run");
+      expect(getConnectionCount()).toBe(2);
+    });
+
+    // Guards against the same confusion of requests that have no ids at all.
+    it("uses no connection again after a request without an id", async () => {
+      const rejection = formatRejection("").replace(/x-request-id.*\r\n/, "");
+      const { getConnectionCount, send } = await start([rejection, rejection]);
+      expect((await send(undefined)).kind).toBe("not-run");
+      expect((await send(undefined)).kind).toBe("not-run");
+      expect(getConnectionCount()).toBe(2);
+    });
+
     it("may have run, if the rejection names no request", async () => {
       const { send } = await start([
         formatRejection("1").replace("x-request-id: 1\r\n", ""),
--- a/tests/gateway/exchange_test.ts
+++ b/tests/gateway/exchange_test.ts
@@ -146,7 +146,8 @@
     expect((await send(conn)).kind).toBe("response");
     await new Promise((resolve) => setTimeout(resolve, 50));
     connections.release(conn);
-    expect(connections.tryAcquireIdle(conn.address, 1_000)).toBeUndefined();
+    expect(connections.tryAcquireIdle(conn.address, 1_000, undefined))
+      .toBeUndefined();
   });
 
   describe("when the target sends bytes without end", () => {
