Other instances read the store when its responses to a domain's reader end

A withdrawn key and a moved route came as late.

Cause: the instances rely on their reader, and nothing bounded the age of what they rely on. An open watch says nothing until it ends, so a reader without responses can't be told from one of a store without changes, for 5.7 s. In a trace without an end of the fault nobody replaced the reader in 9 s: when it reported its failure, its last response was over 6 s old, so that the store counted as down, in which no reader is replaced.

Ruled out: that the others knew of the change, or lost a push. In the trace they log no item, pull or change of roles.

Change: store_contact.ts. A reader asks for a response, by a renewal of its lease, when its watches have brought none for the contact interval, and reports the age of the last one to its domain. Instances that hear of none in time ask the store themselves and, if it responds, read in place of the readers for 10 s. The interval follows from the settings' bounds for changes. The first watches of a reader have different lengths, so that their responses are spread evenly. A reader that hangs is found by the same bound.

--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -30,6 +30,7 @@
 import * as RestoreGuard from "./restore_guard.ts";
 import * as Revision from "./revision.ts";
 import * as StateModule from "./state.ts";
+import * as StoreContact from "./store_contact.ts";
 import * as TargetLimits from "./target_limits.ts";
 import type * as TargetLoad from "./target_load.ts";
 import * as Topology from "./topology.ts";
@@ -42,6 +43,8 @@
 /** Time in which an instance that starts is connected to the listed members of its domain, and receives the items that they have. */
 const CONNECT_WAIT_MS = 800;
 const PEER_POLL_MS = 25;
+/** Delay of the response to a watch beyond its duration, ms. */
+const WATCH_DELAY_MS = 100;
 /** Time for which values derived from the member list are cached; they change rarely, but each request and each status message of a peer reads them. */
 const MEMBERS_CACHE_MS = 250;
 
@@ -122,6 +125,7 @@
     restoreGuard,
     isReader: () => getReaders().includes(self),
     onChanges: (changes, before) => deferred.itemSync?.push(changes, before),
+    onResponse: () => storeContact.recordResponse(),
     onRestore: () => membership.restore(),
     entryRecoveryMs: settings.timing.entryRecoveryMs,
     supervisor: supervisor.createChild("feed"),
@@ -162,8 +166,8 @@
     return fleetView.isHub() && !isCovered;
   }
 
-  /** Instances that follow the store for the local domain. */
-  function getReaders(): readonly Types.InstanceId[] {
+  /** Instances that may follow the store for the local domain. */
+  function getReaderCandidates(): readonly Readers.DomainMember[] {
     const { capacity } = instance;
     const candidates = [...fleetView.getHubPeers(), ...getListedPeers()];
     if (mayActForDomain()) {
@@ -173,12 +177,54 @@
         capacity,
       });
     }
+    return candidates;
+  }
+
+  function selectReaders(
+    candidates: readonly Readers.DomainMember[],
+  ): readonly Types.InstanceId[] {
     return Readers.chooseReaders(candidates, {
       isStoreUp: feed.getStoreAgeMs() < STORE_REACHABLE_MS,
       isFullMesh: fleetView.isFullMesh(),
     });
   }
 
+  /** Instances that follow the store for the local domain, this one also in place of others. */
+  function getReaders(): readonly Types.InstanceId[] {
+    const readers = selectReaders(getReaderCandidates());
+    const isAdded = storeContact.isSubstitute() && !readers.includes(self);
+    return isAdded ? [...readers, self] : readers;
+  }
+
+  const storeContact = StoreContact.createStoreContact({
+    self,
+    getDomain() {
+      const candidates = getReaderCandidates();
+      const readers = selectReaders(candidates);
+      return {
+        readers,
+        ranked: Readers.rankReaders(candidates),
+        hasDependents: fleetView.getLocalPeers()
+          .some(({ id }) => !readers.includes(id)),
+      };
+    },
+    getDomainCount: () => memberList.getDomains().length,
+    getReportMs: () => statusGossip.getIntervalMs(),
+    changeInForceMs: settings.timing.changeInForceMs,
+    watchIntervalMs: Feed.WATCH_WAIT_MS / opts.watchedPrefixes.length +
+      WATCH_DELAY_MS,
+    askStore: () => membership.renewNow(),
+    isFailing: () => feed.isFailing(),
+    onSubstitute() {
+      feed.updateRole();
+      // No further instances step in once they know that this one does.
+      statusGossip.sendToDomain();
+    },
+    supervisor: supervisor.createChild("store-contact"),
+    clock,
+    log,
+  });
+
   const memberList = MemberList.createMemberList({
     self,
     domain,
@@ -333,6 +379,7 @@
     memberList,
     domainView,
     getDomainReport: fleetView.getDomainReport,
+    storeContact,
     targetLimits,
     loadExchange,
     quota,
@@ -385,6 +432,7 @@
     async listen() {
       const peerAddress = await peers.listen();
       statusGossip.start();
+      storeContact.start();
       const { capacity } = instance;
       connectToMembers(listedMembers);
       membership.start(
@@ -405,6 +453,7 @@
         peerBytesReceived: received,
         peerBytesSent: sent,
         itemsFromStore: feed.getStoreItemCount(),
+        storeSubstitutions: storeContact.getSubstitutionCount(),
         itemsFromPeers: itemCounts.received,
         pulls: itemCounts.pulls,
         members: peers.getMembers().length,
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -16,10 +16,10 @@
 import type * as GatewayTypes from "./types.ts";
 
 /**
- * Duration of one watch. A connection may become unresponsive without a reset. Until
+ * Duration of one watch, ms. A connection may become unresponsive without a reset. Until
  * the watch ends, peers report the changes; without peers the next watch finds them.
  */
-const WATCH_WAIT_MS = 5_000;
+export const WATCH_WAIT_MS = 5_000;
 /**
  * Duration of the first watch after a failed one. Its response shows at once whether
  * the store was restored meanwhile, even if it has counted up to the known revision
@@ -74,6 +74,8 @@
   ): readonly GatewayTypes.StoreItem[];
   /** Items received from the store since the start. */
   getStoreItemCount(): number;
+  /** Begins to follow the store at once if this instance has become a reader. */
+  updateRole(): void;
   start(): void;
 }
 
@@ -92,6 +94,8 @@
     changes: readonly GatewayTypes.StoreItem[],
     before: ItemsModule.Revisions,
   ) => void;
+  /** Called for each response of the store. */
+  readonly onResponse: () => void;
   /** Called when the store was restored from a copy. */
   readonly onRestore: () => void;
   /** Time after an outage in which entries may reappear, ms. */
@@ -184,6 +188,7 @@
 
   function recordResponse(): void {
     storeSeen = { atMs: clock.nowMs(), relays: 0 };
+    opts.onResponse();
     if (failingSinceMs === undefined) return;
     const outageMs = Math.round(storeSeen.atMs - failingSinceMs);
     log.info("store-regained", { outageMs });
@@ -259,7 +264,7 @@
   }
 
   /** Logs changes of the reader role and resumes the watches of a reader. The role changes when members of the domain join or leave, or when the store fails a reader. */
-  function checkRole(): void {
+  function updateRole(): void {
     const isReader = opts.isReader();
     if (isReader !== wasReader) log.info("store-reader", { isReader });
     wasReader = isReader;
@@ -269,6 +274,10 @@
   /** Watches one prefix from the known revision; reads the whole prefix when there is none. */
   async function follow(prefix: string, signal: AbortSignal): Promise<void> {
     const prefixIndex = opts.prefixes.indexOf(prefix);
+    // Spreads the responses to the watches of a reader over the time of one watch.
+    const firstWaitMs = WATCH_WAIT_MS * (prefixIndex + 1) /
+      opts.prefixes.length;
+    let nextWaitMs = firstWaitMs;
     let afterRevision: number | undefined;
     let retryMs = RETRY_MIN_MS;
     let batchDelayMs = 0;
@@ -301,6 +310,7 @@
       await roleChanges.wait(MAX_IDLE_MS, signal);
       const knownRevision = items.getRevisions()[prefixIndex] ?? 0;
       afterRevision = knownRevision > 0 ? knownRevision : undefined;
+      nextWaitMs = firstWaitMs;
     }
 
     async function readWhole(): Promise<boolean> {
@@ -327,7 +337,7 @@
     }
 
     async function watchOnce(since: number): Promise<boolean> {
-      const waitMs = hasFailed ? PROBE_WAIT_MS : WATCH_WAIT_MS;
+      const waitMs = hasFailed ? PROBE_WAIT_MS : nextWaitMs;
       const watchSignal = getWatchSignal();
       const result = await store.watch(prefix, since, waitMs, watchSignal);
       if (watchSignal.aborted) return true;
@@ -335,6 +345,7 @@
       // continues from the same revision and misses nothing.
       if (result.isErr()) return handleFailure(result.error.detail);
       recordResponse();
+      nextWaitMs = hasFailed ? firstWaitMs : WATCH_WAIT_MS;
       if (result.value.kind === "history-gone") {
         const after = Revision.formatRevision(since);
         log.info("store-history-gone", { prefix, after });
@@ -378,6 +389,7 @@
       return applyItems(received);
     },
     getStoreItemCount: () => itemsFromStore,
+    updateRole,
     start() {
       for (const prefix of opts.prefixes) {
         opts.supervisor.run(
@@ -388,7 +400,7 @@
       opts.supervisor.every(
         "reader-role",
         () => ClockModule.getAlignedDelayMs(ROLE_CHECK_MS, clock),
-        checkRole,
+        updateRole,
       );
     },
   };
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -5,12 +5,13 @@
  * for its domain (see `topology.ts`) is found through those that do, and writes no
  * record.
  */
-import { Ok } from "ts-results-es";
+import { Ok, type Result } from "ts-results-es";
 import * as Clock from "../clock.ts";
 import * as Json from "../json.ts";
 import type * as Log from "../log.ts";
 import * as Tasks from "../peer/tasks.ts";
 import * as Wire from "../peer/wire.ts";
+import type * as ResultCodes from "../result_codes.ts";
 import type * as Supervisor from "../supervisor.ts";
 import type * as Types from "../types.ts";
 import type * as Contracts from "./contracts.ts";
@@ -23,6 +24,8 @@
 /** Longest time for which a record remains after its instance ended; peers notice the end themselves. */
 const LEASE_MS = 24_000;
 const RENEW_MS = 8_000;
+/** A lease that was renewed less than this ago needs no renewal until the next one is due, ms. */
+const RECENT_RENEWAL_MS = 4_000;
 /** Interval between attempts to write the record. */
 const WRITE_RETRY_MS = 2_000;
 /** Interval of reads that find members which joined while no instance of the domain received heartbeats from them. */
@@ -74,6 +77,8 @@
   join(newSecret: string): Promise<Joined>;
   /** Keeps the record and its lease alive. */
   start(record: MemberRecord, listeners: Listeners): void;
+  /** Renews the lease, the cheapest call to the store; false without a response, or without a lease. */
+  renewNow(): Promise<boolean>;
   /** Writes the record and the secret again, as the store was restored from a copy that may lack them. */
   restore(): void;
   /** Releases the lease, so that the record is removed at once. */
@@ -101,6 +106,8 @@
   let secret: string | undefined;
   let isSecretStored = true;
   let isLeaving = false;
+  /** Monotonic ms of the last renewal. */
+  let renewedAtMs = -Infinity;
   const restores = Tasks.createNotifier();
   /** Keys of the records in the last listing that name no member. */
   let unreadableKeys: ReadonlySet<string> = new Set();
@@ -128,10 +135,21 @@
     if (lease.isOk()) leaseId = lease.value;
   }
 
+  /** Renews the lease; the result is that of the store. */
+  async function renewLease(
+    id: string,
+  ): Promise<Result<void, ResultCodes.Failure>> {
+    const renewed = await store.renewLease(id);
+    if (renewed.isOk()) renewedAtMs = Clock.systemClock.nowMs();
+    return renewed;
+  }
+
   async function renew(record: MemberRecord): Promise<void> {
     if (isLeaving) return;
     if (leaseId !== undefined && isWritten) {
-      const renewed = await store.renewLease(leaseId);
+      const ageMs = Clock.systemClock.nowMs() - renewedAtMs;
+      if (ageMs < RECENT_RENEWAL_MS) return;
+      const renewed = await renewLease(leaseId);
       if (renewed.isOk()) return;
       if (renewed.error.code.name !== "lease-lapsed") return;
       log.warn("member-lease-lapsed", {});
@@ -216,6 +234,14 @@
         (signal) => discover(listeners, signal),
       );
     },
+    async renewNow() {
+      if (leaseId === undefined || !isWritten) return false;
+      const renewed = await renewLease(leaseId);
+      if (renewed.isOk()) return true;
+      // The record is written again without waiting for the next renewal.
+      if (renewed.error.code.name === "lease-lapsed") restores.notify();
+      return false;
+    },
     restore() {
       leaseId = undefined;
       isWritten = false;
--- a/src/gateway/readers.ts
+++ b/src/gateway/readers.ts
@@ -6,7 +6,8 @@
  * One or two instances per domain watch the store and push changes to the other
  * instances of their domain. A reader that the store rejects while it serves other
  * instances is replaced. In an outage of the store no reader is replaced, so that
- * the recovering store does not receive the calls of the whole fleet.
+ * the recovering store does not receive the calls of the whole fleet. Other instances
+ * step in for readers to which the store gives no response (`store_contact.ts`).
  */
 import * as Rendezvous from "../rendezvous.ts";
 import type * as Types from "../types.ts";
@@ -14,7 +15,8 @@
 /**
  * In a small domain a second reader costs little, as it saves its peer a push. In a
  * larger domain or fleet, an unresponsive reader is noticed by the revisions that
- * other domains report, within two of their status messages.
+ * other domains report, within two of their status messages, and by the age of its
+ * last response.
  */
 const SMALL_DOMAIN_READERS = 2;
 const LARGE_DOMAIN_READERS = 1;
@@ -41,16 +43,23 @@
   readonly isFullMesh: boolean;
 }
 
-/** Selects the store readers of a domain among its members, or among its hubs in a large fleet. */
-export function chooseReaders(
+/** Ranks the members as readers: the largest first, equal ones by hash. */
+export function rankReaders(
   members: readonly DomainMember[],
-  { isFullMesh, isStoreUp }: ReaderPolicy,
 ): readonly Types.InstanceId[] {
   const capacities = new Map(
     members.map((member) => [member.id, member.capacity]),
   );
-  const ranked = Rendezvous.rank(RANK_KEY, [...capacities.keys()])
+  return Rendezvous.rank(RANK_KEY, [...capacities.keys()])
     .toSorted((a, b) => (capacities.get(b) ?? 0) - (capacities.get(a) ?? 0));
+}
+
+/** Selects the store readers of a domain among its members, or among its hubs in a large fleet. */
+export function chooseReaders(
+  members: readonly DomainMember[],
+  { isFullMesh, isStoreUp }: ReaderPolicy,
+): readonly Types.InstanceId[] {
+  const ranked = rankReaders(members);
   const count = isFullMesh && members.length < LARGE_DOMAIN_MEMBERS
     ? SMALL_DOMAIN_READERS
     : LARGE_DOMAIN_READERS;
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -37,6 +37,8 @@
     readonly graceMs: number;
     /** Longest time for which callers cache a response of the directory, ms. */
     readonly maxDirectoryTtlMs: number;
+    /** Time within which a change in the store has to be in force at all instances, ms. */
+    readonly changeInForceMs: number;
     /** Time after the end of a store outage within which targets restore their expired entries, ms. */
     readonly entryRecoveryMs: number;
     /** Time after which the store removes the entry of a silent target, ms. */
--- a/src/gateway/status_gossip.ts
+++ b/src/gateway/status_gossip.ts
@@ -1,6 +1,6 @@
 /**
  * Status messages that instances send to each other: store revisions, store age,
- * member count of the domain, rates that targets name, and the coordinator of the
+ * the age of a store reader's own contact, member count of the domain, rates that targets name, and the coordinator of the
  * domain's accounts. In a large fleet they also tell the peers of the local domain
  * which instances the sender is connected to, and the member counts of the other
  * domains, as most instances are connected to hubs only. Coordinators also send the
@@ -21,6 +21,7 @@
 import type * as MemberList from "./member_list.ts";
 import * as ItemSync from "./item_sync.ts";
 import * as LoadExchange from "./load_exchange.ts";
+import type * as StoreContact from "./store_contact.ts";
 import * as RelayedObservation from "./relayed_observation.ts";
 import type * as RestoreGuard from "./restore_guard.ts";
 import * as TargetLimits from "./target_limits.ts";
@@ -50,6 +51,8 @@
 export interface StatusGossip {
   /** Interval between two status messages, ms. */
   getIntervalMs(): number;
+  /** Sends a status message to the peers of the local domain at once. */
+  sendToDomain(): void;
   /** Sends status messages in the packets of the heartbeats that are being sent; only in large fleets. */
   sendWithHeartbeats(): void;
   start(): void;
@@ -66,6 +69,10 @@
   readonly domainView: DomainView.DomainView;
   /** Instances of the local domain, as this instance itself sees them. */
   readonly getDomainReport: () => DomainView.DomainReport;
+  readonly storeContact: Pick<
+    StoreContact.StoreContact,
+    "recordPeerAge" | "tryGetReportedAgeMs"
+  >;
   readonly targetLimits: TargetLimits.TargetLimits;
   readonly loadExchange: LoadExchange.LoadExchange;
   readonly quota: Quota.Quota;
@@ -77,7 +84,7 @@
 }): StatusGossip {
   const { clock, domain, feed, items, itemSync, memberList, peers, pool } =
     opts;
-  const { quota, targetLimits } = opts;
+  const { quota, storeContact, targetLimits } = opts;
   /** Incarnation of each instance that received a first status message. */
   const greetedIncarnations = new Map<Types.InstanceId, string>();
 
@@ -119,6 +126,10 @@
       return;
     }
     if (typeof keeper === "string") pool.recordCoordinatorVote(sender, keeper);
+    const contactAgeMs = params["contactAgeMs"];
+    if (typeof contactAgeMs === "number" && contactAgeMs >= 0) {
+      storeContact.recordPeerAge(sender, contactAgeMs);
+    }
     const report = DomainView.tryReadReport(params["report"]);
     if (report !== undefined) opts.domainView.recordReport(sender, report);
     for (const [name, value, ageMs] of readCounts(params["counts"])) {
@@ -160,7 +171,12 @@
     };
     if (remoteIds.length > 0) send(remoteIds, STATUS_METHOD, status);
     const keeper = pool.getCoordinator();
-    const localStatus = { ...status, keeper };
+    const contactAgeMs = storeContact.tryGetReportedAgeMs();
+    const localStatus = {
+      ...status,
+      keeper,
+      ...(contactAgeMs === undefined ? {} : { contactAgeMs }),
+    };
     if (!isLargeFleet()) {
       return send(localIds, STATUS_METHOD, localStatus);
     }
@@ -206,6 +222,7 @@
   );
   return {
     getIntervalMs,
+    sendToDomain: () => sendTo(opts.getConnected().local, []),
     sendWithHeartbeats() {
       if (isLargeFleet()) sendToAll();
     },
--- a/tests/gateway/feed_test.ts
+++ b/tests/gateway/feed_test.ts
@@ -37,6 +37,7 @@
     },
     isReader,
     onChanges: () => {},
+    onResponse: () => {},
     onRestore: () => {},
     entryRecoveryMs: 2_000,
     supervisor,
--- a/tests/gateway/status_budget_test.ts
+++ b/tests/gateway/status_budget_test.ts
@@ -83,6 +83,7 @@
             ageMs: 1_000,
           })),
       },
+      storeContact: { tryGetReportedAgeMs: () => 12_345 },
       // The largest messages that the exchange of load reports sends.
       loadExchange: {
         createMessages: () =>
--- a/tests/platform/adapter_test.ts
+++ b/tests/platform/adapter_test.ts
@@ -79,6 +79,17 @@
     expect(decoded.limits.retryRatio).toBe(0.2);
   });
 
+  // Guards against changes that come late where one kind of them has a shorter bound.
+  it("names the shortest of the bounds for changes in the store", () => {
+    const parse = (bounds: object) =>
+      Settings.parseSettings(JSON.stringify({ ...settings, terms: { bounds } }))
+        .unwrap().timing.changeInForceMs;
+    expect(parse({})).toBe(2_500);
+    const bounds = { configApplyMs: 4_000, evacuateMs: 5_000 };
+    expect(parse({ ...bounds, drainMaxMs: 3_000 })).toBe(3_000);
+    expect(parse({ ...bounds, drainMaxMs: 6_000 })).toBe(4_000);
+  });
+
   // Guards against a process that doesn't start, or leaves the directory, for a faulty figure.
   it.each([
     [7.5, 7.5],
--- a/tests/support/gateway_rig.ts
+++ b/tests/support/gateway_rig.ts
@@ -139,6 +139,8 @@
   readonly instances?: number;
   /** Gives each instance links of its own to the targets, which can be partitioned. */
   readonly hasLinks?: boolean;
+  /** Gives each instance a link of its own to the store, which can be partitioned. */
+  readonly hasStoreLinks?: boolean;
   /** Configuration record in the store; null for none. */
   readonly config?: string | null;
   /** Memory of each instance, bytes; 250 MB by default. */
@@ -177,6 +179,8 @@
     readonly gateway: Gateway.Gateway;
     /** Links to the targets; none without `hasLinks`. */
     readonly links: readonly KvLink.KvLink[];
+    /** Link to the store; undefined without `hasStoreLinks`. */
+    readonly storeLink: KvLink.KvLink | undefined;
     readonly lines: readonly string[];
   }[] = [];
   /** Starts one more instance. */
@@ -220,6 +224,7 @@
       timing: {
         graceMs: 6_000,
         maxDirectoryTtlMs: 5_000,
+        changeInForceMs: 2_500,
         entryRecoveryMs: 2_000,
         entryExpiryMs: 1_500,
       },
@@ -239,12 +244,16 @@
       if (link === undefined) return change;
       return { ...change, entry: { ...change.entry, address: link.address } };
     };
+    const storeLink = opts.hasStoreLinks === true
+      ? await KvLink.startKvLink(kv.address)
+      : undefined;
+    if (storeLink !== undefined) addCleanup(storeLink.close);
     const lines: string[] = [];
     const writeText = (text: string) =>
       void lines.push(...text.split("\n").filter((line) => line !== ""));
     const gateway = await Gateway.startGateway({
       settings,
-      store: Store.createStore(kv.address, "127.0.0.1"),
+      store: Store.createStore(storeLink?.address ?? kv.address, "127.0.0.1"),
       decode,
       dialect: {
         ...Headers.headerDialect,
@@ -265,6 +274,7 @@
       directory,
       gateway,
       links: [...links.values()],
+      storeLink,
       lines,
     });
   }
