Check the contact with the store in the wake-up of the role check

Cause: the check of the contact had a timer of its own beside that of the reader role, and the choice of an idle connection searched the list a second time to remove it.

Change: one timer for both checks; the connection is removed at the index at which it was found. No decision changes.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -222,12 +222,15 @@
 
   return {
     tryAcquireIdle(address, maxIdleMs, requestId) {
-      const conn = idleByAddress.get(address)?.findLast(({ rejectedIds }) =>
+      const idle = idleByAddress.get(address) ?? [];
+      const index = idle.findLastIndex(({ rejectedIds }) =>
         requestId === undefined || !rejectedIds.has(requestId)
       );
+      const conn = idle[index];
       if (conn === undefined) return undefined;
       if (clock.nowMs() - conn.idleSinceMs > maxIdleMs) return undefined;
-      removeIdle(conn);
+      idle.splice(index, 1);
+      if (idle.length === 0) idleByAddress.delete(address);
       return conn;
     },
     async open(address, timeoutMs, cancellation) {
--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -125,7 +125,11 @@
     restoreGuard,
     isReader: () => getReaders().includes(self),
     onChanges: (changes, before) => deferred.itemSync?.push(changes, before),
-    onResponse: () => storeContact.recordResponse(),
+    contact: {
+      check: () => storeContact.check(),
+      getDelayMs: () => storeContact.getDelayMs(),
+      recordResponse: () => storeContact.recordResponse(),
+    },
     onRestore: () => membership.restore(),
     entryRecoveryMs: settings.timing.entryRecoveryMs,
     supervisor: supervisor.createChild("feed"),
@@ -220,7 +224,6 @@
       // No further instances step in once they know that this one does.
       statusGossip.sendToDomain();
     },
-    supervisor: supervisor.createChild("store-contact"),
     clock,
     log,
   });
@@ -432,7 +435,6 @@
     async listen() {
       const peerAddress = await peers.listen();
       statusGossip.start();
-      storeContact.start();
       const { capacity } = instance;
       connectToMembers(listedMembers);
       membership.start(
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -13,6 +13,7 @@
 import * as Revision from "./revision.ts";
 import type * as RestoreGuard from "./restore_guard.ts";
 import type * as StateModule from "./state.ts";
+import type * as StoreContact from "./store_contact.ts";
 import type * as GatewayTypes from "./types.ts";
 
 /**
@@ -41,8 +42,6 @@
 const SHORT_OUTAGE_MS = 1_500;
 /** A peer that received a store response less than this ago shows that the store is up. */
 const FRESH_PEER_MS = 1_500;
-/** Interval at which an instance checks whether it has become or ceased to be a reader. */
-const ROLE_CHECK_MS = 500;
 /** An instance that becomes a reader is notified; this bounds the delay if a notification is missed. */
 const MAX_IDLE_MS = 60_000;
 /** Timers may fire a little early. */
@@ -94,8 +93,11 @@
     changes: readonly GatewayTypes.StoreItem[],
     before: ItemsModule.Revisions,
   ) => void;
-  /** Called for each response of the store. */
-  readonly onResponse: () => void;
+  /** Contact of the domain's readers with the store. */
+  readonly contact: Pick<
+    StoreContact.StoreContact,
+    "check" | "getDelayMs" | "recordResponse"
+  >;
   /** Called when the store was restored from a copy. */
   readonly onRestore: () => void;
   /** Time after an outage in which entries may reappear, ms. */
@@ -188,7 +190,7 @@
 
   function recordResponse(): void {
     storeSeen = { atMs: clock.nowMs(), relays: 0 };
-    opts.onResponse();
+    opts.contact.recordResponse();
     if (failingSinceMs === undefined) return;
     const outageMs = Math.round(storeSeen.atMs - failingSinceMs);
     log.info("store-regained", { outageMs });
@@ -397,11 +399,11 @@
           (signal) => follow(prefix, signal),
         );
       }
-      opts.supervisor.every(
-        "reader-role",
-        () => ClockModule.getAlignedDelayMs(ROLE_CHECK_MS, clock),
-        updateRole,
-      );
+      // Both checks in one wake-up; the second may wait for the store.
+      opts.supervisor.every("reader-role", opts.contact.getDelayMs, () => {
+        updateRole();
+        void opts.contact.check();
+      });
     },
   };
 }
--- a/src/gateway/store_contact.ts
+++ b/src/gateway/store_contact.ts
@@ -13,7 +13,6 @@
  */
 import * as Clock from "../clock.ts";
 import type * as Log from "../log.ts";
-import type * as Supervisor from "../supervisor.ts";
 import type * as Types from "../types.ts";
 import * as MemberList from "./member_list.ts";
 
@@ -37,7 +36,7 @@
 const RETRY_MS = 300;
 /** In an outage of the store, an instance that is not a reader asks it no more often than this, ms. */
 const OUTAGE_RETRY_MS = 2_500;
-/** Interval at which roles are looked at; aligned with that of other tasks. */
+/** Interval of the checks; aligned with that of other tasks. */
 const CHECK_MS = 500;
 const MIN_DELAY_MS = 10;
 /** Age of the contact of a reader that had none; JSON has no infinity. */
@@ -65,11 +64,10 @@
   isSubstitute(): boolean;
   /** Number of times since the start that this instance began to read in place of others. */
   getSubstitutionCount(): number;
-  /** Does one check; exposed for tests, `start` repeats it. Resolves when the store has responded or failed. */
+  /** Asks the store for a response if it is time to; resolves when it has responded or failed. To be repeated. */
   check(): Promise<void>;
   /** Delay until the next check, ms. */
   getDelayMs(): number;
-  start(): void;
 }
 
 interface PeerContact {
@@ -77,7 +75,7 @@
   readonly reportedAtMs: number;
 }
 
-/** Creates the contact of the instance `self`; it asks nothing before `start`. */
+/** Creates the contact of the instance `self`; it asks the store only in checks. */
 export function createStoreContact(opts: {
   readonly self: Types.InstanceId;
   readonly getDomain: () => ReadingDomain;
@@ -95,7 +93,6 @@
   readonly isFailing: () => boolean;
   /** Called when this instance begins to read in place of others. */
   readonly onSubstitute: () => void;
-  readonly supervisor: Supervisor.Supervisor;
   readonly clock: Clock.Clock;
   readonly log: Log.Logger;
 }): StoreContact {
@@ -105,6 +102,7 @@
   let askedAtMs = -Infinity;
   let substituteUntilMs = -Infinity;
   let dueAtMs = -Infinity;
+  let isAsking = false;
   /** True if this instance was a reader or a substitute at the last check. */
   let isReading = false;
   let substitutions = 0;
@@ -181,12 +179,16 @@
   }
 
   async function check(): Promise<void> {
+    if (isAsking) return;
     const domain = opts.getDomain();
     isReading = domain.readers.includes(self) || isSubstitute();
-    if (getDueAtMs(domain) <= clock.nowMs()) {
-      await (isReading ? keepContact() : stepIn(domain));
-    }
     dueAtMs = getDueAtMs(domain);
+    if (dueAtMs > clock.nowMs()) return;
+    // The next check computes it anew.
+    dueAtMs = Infinity;
+    isAsking = true;
+    await (isReading ? keepContact() : stepIn(domain));
+    isAsking = false;
   }
 
   function getDelayMs(): number {
@@ -217,6 +219,5 @@
     getSubstitutionCount: () => substitutions,
     check,
     getDelayMs,
-    start: () => opts.supervisor.every("store-contact", getDelayMs, check),
   };
 }
--- a/tests/gateway/feed_test.ts
+++ b/tests/gateway/feed_test.ts
@@ -37,7 +37,11 @@
     },
     isReader,
     onChanges: () => {},
-    onResponse: () => {},
+    contact: {
+      check: () => Promise.resolve(),
+      getDelayMs: () => 500,
+      recordResponse: () => {},
+    },
     onRestore: () => {},
     entryRecoveryMs: 2_000,
     supervisor,
--- a/tests/gateway/store_contact_test.ts
+++ b/tests/gateway/store_contact_test.ts
@@ -1,7 +1,6 @@
 import { describe, expect, it } from "vitest";
 import * as StoreContact from "../../src/gateway/store_contact.ts";
 import * as Log from "../../src/log.ts";
-import * as Supervisor from "../../src/supervisor.ts";
 import * as ManualTime from "../../testing/fakes/manual_time.ts";
 
 const log = Log.createLogger("error", {}, () => {});
@@ -51,7 +50,6 @@
         substitutedAtMs.push(time.nowMs());
         report(ids.indexOf(self));
       },
-      supervisor: Supervisor.createSupervisor("test", log),
       clock: time,
       log,
     });
