--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -158,7 +158,7 @@
     const maxIdleMs = req.isRepeatable
       ? MAX_IDLE_MS
       : MAX_IDLE_NON_REPEATABLE_MS;
-    // Instances write each response once, so that its copy can't be taken for another.
+    // Unlike targets, instances write each response once, so that any idle connection will do.
     const idle = connections.tryAcquireIdle(
       callerAddress,
       maxIdleMs,
--- a/src/gateway/status_gossip.ts
+++ b/src/gateway/status_gossip.ts
@@ -1,11 +1,11 @@
 /**
- * Status messages that instances send to each other: store revisions, store age,
- * the age of a store reader's own contact, member count of the domain, rates that targets name, and the coordinator of the
- * domain's accounts. In a large fleet they also tell the peers of the local domain
- * which instances the sender is connected to, and the member counts of the other
- * domains, as most instances are connected to hubs only. Coordinators also send the
- * demands of their domain. Load reports of targets are sent in messages of their own
- * (`load_exchange.ts`), as they are of use for a second only.
+ * Status messages that instances send to each other: store revisions, store age, the
+ * contact of a store reader, member count of the domain, rates that targets name, and
+ * the coordinator of the domain's accounts. In a large fleet they also tell the peers
+ * of the local domain which instances the sender is connected to, and the member
+ * counts of the other domains, as most instances are connected to hubs only.
+ * Coordinators also send the demands of their domain. Load reports of targets are sent
+ * in messages of their own (`load_exchange.ts`), as they are of use for a second only.
  */
 import * as Clock from "../clock.ts";
 import type * as Contracts from "../contracts.ts";
@@ -21,9 +21,9 @@
 import type * as MemberList from "./member_list.ts";
 import * as ItemSync from "./item_sync.ts";
 import * as LoadExchange from "./load_exchange.ts";
-import type * as StoreContact from "./store_contact.ts";
 import * as RelayedObservation from "./relayed_observation.ts";
 import type * as RestoreGuard from "./restore_guard.ts";
+import type * as StoreContact from "./store_contact.ts";
 import * as TargetLimits from "./target_limits.ts";
 
 /** Bounds how far the shares of an account's limit lag behind its callers. */
--- a/src/gateway/store_contact.ts
+++ b/src/gateway/store_contact.ts
@@ -16,9 +16,9 @@
 import type * as Types from "../types.ts";
 import * as MemberList from "./member_list.ts";
 
-/** Part of the time within which a change has to be in force that is left for two steps of substitutes, their reads and pushes, ms. */
+/** Time for two steps of substitutes, their reads and their pushes, ms; part of the time within which a change has to be in force. */
 const TAKEOVER_MS = 700;
-/** Shortest contact interval, ms; where it is too long for a site's bound, the limit exceeds the rest of the bound. */
+/** Shortest contact interval, ms. It limits the calls to the store where status messages are rare or the bound for changes is short. */
 const MIN_INTERVAL_MS = 900;
 /**
  * In fleets of more domains, readers of other domains report the revisions that a
@@ -30,7 +30,7 @@
 /** Number of instances that step in first; it doubles with each further step, as the store may not respond to them either. */
 const FIRST_SUBSTITUTES = 2;
 const SUBSTITUTE_STEP_MS = 400;
-/** Time for which an instance reads in place of others; a reader whose calls fail is replaced by then (`readers.ts`). */
+/** Time for which an instance reads in place of others, ms; a reader whose calls fail is replaced by then (`readers.ts`). */
 const SUBSTITUTE_MS = 10_000;
 /** Delay between two calls of a reader without a response, ms. */
 const RETRY_MS = 300;
@@ -64,7 +64,7 @@
   isSubstitute(): boolean;
   /** Number of times since the start that this instance began to read in place of others. */
   getSubstitutionCount(): number;
-  /** Asks the store for a response if it is time to; resolves when it has responded or failed. To be repeated. */
+  /** Asks the store for a response if that is due; resolves when the store has responded or failed. Call it after each `getDelayMs`. */
   check(): Promise<void>;
   /** Delay until the next check, ms. */
   getDelayMs(): number;
