Parse long chunks of a body in longer pieces

What callers saw: orders with bodies of 1 MB in chunks miss their deadline while a client account sends many of them.

Cause: bytes of a chunked body were parsed in slices of 1 kB, or of 256 bytes once many requests are in progress, as a next request may begin in them. So 1 MB took up to 3,908 turns of the event loop, and all bodies arrived slowly together. A profile during the load had the gate's turns and the garbage of their slices at the top; the process was never idle.

Change: a slice that held payload only lies within a chunk, so that the next one may be twice as long, up to 8 kB. The first slice with framing goes back to the short ones.

--- a/src/connection_backlogs.ts
+++ b/src/connection_backlogs.ts
@@ -16,6 +16,8 @@
 const MAX_TOTAL_BACKLOG_BYTES = 2 * 1_024 * 1_024;
 /** Bytes of a body of declared length that are passed on at once. */
 const BODY_SLICE_BYTES = 64 * 1_024;
+/** Longest slice of a chunked body, if the ones before it held payload only; a next request may begin in it. */
+const MAX_CHUNK_SLICE_BYTES = 8 * 1_024;
 /** Requests from backlogs in an iteration of the event loop; their handling goes on after the turns. */
 const MAX_TURN_REQUESTS = 8;
 /** Time in an iteration of the event loop for backlogs, ms. */
@@ -78,7 +80,10 @@
     const isInBody = conn.bodyBytesLeft > 0;
     const bytes = isInBody
       ? Math.min(conn.bodyBytesLeft, BODY_SLICE_BYTES)
-      : Limits.getSliceBytes(opts.isCrowded(), conn.limits());
+      : Math.max(
+        Limits.getSliceBytes(opts.isCrowded(), conn.limits()),
+        conn.chunked?.nextSliceBytes ?? 0,
+      );
     const first = conn.backlog[0]!;
     const slice = first.length <= bytes ? first : first.subarray(0, bytes);
     if (slice === first) conn.backlog.shift();
@@ -91,10 +96,17 @@
 
   function parseSlice(conn: GatedConnection.Connection): void {
     const slice = takeSlice(conn);
-    const { req } = conn;
+    const { chunked, req } = conn;
+    const payloadBefore = chunked?.payloadBytes ?? 0;
     discards.record(conn, slice.length);
     conn.parsedBytes += slice.length;
     conn.parse(slice);
+    if (chunked !== undefined) {
+      const isPayload = chunked.payloadBytes - payloadBefore === slice.length;
+      chunked.nextSliceBytes = isPayload
+        ? Math.min(2 * slice.length, MAX_CHUNK_SLICE_BYTES)
+        : 0;
+    }
     if (conn.req !== req) {
       // A part of the slice may already belong to the body.
       const length = Number(conn.req?.headers["content-length"] ?? 0);
--- a/src/connection_gate.ts
+++ b/src/connection_gate.ts
@@ -77,7 +77,11 @@
     conn.bodyBytesLeft = 0;
     conn.chunked = undefined;
     if (req.headers["transfer-encoding"] !== undefined) {
-      const chunked = { startBytes: conn.parsedBytes, payloadBytes: 0 };
+      const chunked: GatedConnection.ChunkedBody = {
+        startBytes: conn.parsedBytes,
+        payloadBytes: 0,
+        nextSliceBytes: 0,
+      };
       conn.chunked = chunked;
       const push = req.push.bind(req);
       req.push = (chunk: Buffer | null) => {
--- a/src/gated_connection.ts
+++ b/src/gated_connection.ts
@@ -17,6 +17,15 @@
   } | null;
 }
 
+/** What was parsed of a chunked body. */
+export interface ChunkedBody {
+  /** `parsedBytes` of the connection at its begin. */
+  readonly startBytes: number;
+  payloadBytes: number;
+  /** Bytes that may be parsed at once although they may hold further requests; 0 without evidence of long chunks. */
+  nextSliceBytes: number;
+}
+
 /** A connection of a server that a gate watches. */
 export interface Connection extends Limits.ConnectionState {
   readonly socket: ServerSocket;
@@ -30,8 +39,8 @@
   parsedBytes: number;
   /** Bytes that belong to the declared body of the last request for certain. */
   bodyBytesLeft: number;
-  /** `parsedBytes` at the begin of a chunked body, and the payload since; undefined for other bodies. */
-  chunked: { readonly startBytes: number; payloadBytes: number } | undefined;
+  /** The chunked body of the last request; undefined for other bodies. */
+  chunked: ChunkedBody | undefined;
   /** Response to the last request. */
   res: Http.ServerResponse | undefined;
   /** `parsedBytes` when the last request was answered. */
