Don't send a request behind the rest of an earlier one

What callers saw: a request that is sent on a connection whose target answered an earlier request before it had read all of its body waits until the target has read the rest, or until its deadline.

Cause: the pool kept a connection as soon as its response was complete. What the request's body still had to send was no part of its state.

Change: a connection is kept only if nothing of the request waits to be sent; else it is closed.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -265,7 +265,9 @@
         (reuseSuspendedUntilMs.get(conn.address) ?? -Infinity) > clock.nowMs();
       if (rejectedId !== undefined) conn.rejectedIds.add(rejectedId);
       const isUsedUp = conn.rejectedIds.size >= MAX_REJECTED_IDS;
-      if (conn.socket.destroyed || isReuseSuspended || isUsedUp) {
+      // The rest of a request whose response came early must not go ahead of the next one.
+      const isSending = conn.socket.writableLength > 0;
+      if (conn.socket.destroyed || isSending || isReuseSuspended || isUsedUp) {
         return destroy(conn);
       }
       conn.idleSinceMs = clock.nowMs();
--- a/tests/gateway/attempt_test.ts
+++ b/tests/gateway/attempt_test.ts
@@ -19,7 +19,10 @@
     "content-length: 2\r\n\r\nok";
 
   /** Starts a target that writes the next texts, one for each request; returns a function that sends a request with an id. */
-  async function start(texts: readonly string[], delayMs = 0) {
+  async function start(
+    texts: readonly string[],
+    { delayMs = 0, isPaused = false } = {},
+  ) {
     let next = 0;
     let connectionCount = 0;
     const server = Net.createServer((socket) => {
@@ -28,6 +31,7 @@
       socket.on("error", () => {});
       socket.on("data", () => {
         const text = texts[next++] ?? "";
+        if (isPaused) socket.pause();
         setTimeout(() => void socket.write(text), delayMs);
       });
     });
@@ -52,7 +56,7 @@
     });
     return {
       getConnectionCount: () => connectionCount,
-      send: (id: string | undefined) =>
+      send: (id: string | undefined, body?: Buffer) =>
         attempts.send({
           targetId: "i-1",
           address: `127.0.0.1:${port}`,
@@ -61,7 +65,7 @@
             method: "POST",
             path: "/order/x",
             headers: id === undefined ? [] : ["x-request-id", id],
-            body: undefined,
+            body,
           },
           requestId: id,
           isRepeatable: false,
@@ -137,4 +141,14 @@
       expect((await send("1")).kind).toBe("broke");
     });
   });
+
+  // Guards against a request behind the rest of an earlier one, whose memory is released meanwhile.
+  it("uses no connection again that still sends the body of an answered request", async () => {
+    const texts = [formatResponse("1"), formatResponse("2")];
+    const { getConnectionCount, send } = await start(texts, { isPaused: true });
+    const body = Buffer.alloc(16_000_000, "b");
+    expect((await send("1", body)).kind).toBe("response");
+    expect((await send("2")).kind).toBe("response");
+    expect(getConnectionCount()).toBe(2);
+  });
 });
