--- a/src/body_buffer.ts
+++ b/src/body_buffer.ts
@@ -17,8 +17,8 @@
   take(): Buffer;
 }
 
-/** Creates an empty buffer. A body of `expectedBytes` is never copied as a whole. */
-export function createBodyBuffer(expectedBytes = 0): BodyBuffer {
+/** Creates an empty buffer. */
+export function createBodyBuffer(): BodyBuffer {
   const blocks: Buffer[] = [];
   /** The last block; the first `usedBytes` bytes hold a part of the body. */
   let lastBlock: Buffer | undefined;
@@ -45,7 +45,7 @@
       const rest = fillLastBlock(chunk);
       if (rest.length === 0) return;
       // Most bodies arrive in one chunk and need no room for another.
-      const minBytes = lastBlock === undefined ? expectedBytes : BLOCK_BYTES;
+      const minBytes = lastBlock === undefined ? 0 : BLOCK_BYTES;
       const block = Buffer.allocUnsafeSlow(Math.max(minBytes, rest.length));
       addBlock(block, rest.copy(block));
     },
