npm run bench -- parts: processor time of a request and of an idle second, by part

Profiles the real program against the stand-ins through its inspector, in its modules, and assigns each sample to the nearest module that called it.

The program is unchanged.

--- a/testing/bench/main.ts
+++ b/testing/bench/main.ts
@@ -24,6 +24,7 @@
   store: async () => (await import("./store.ts")).run,
   keys: async () => (await import("./keys.ts")).run,
   ledger: async () => (await import("./ledger.ts")).run,
+  parts: async () => (await import("./parts.ts")).run,
 };
 
 async function main(): Promise<number> {
--- a/testing/harness/gateway.ts
+++ b/testing/harness/gateway.ts
@@ -30,6 +30,8 @@
   readonly ip: string;
   readonly store: string;
   readonly regionOfDomain: Readonly<Record<string, string>>;
+  /** File of the program; the bundle by default. */
+  readonly main?: string;
   /** Arguments of the runtime, for example `--cpu-prof`. */
   readonly nodeArgs?: readonly string[];
   /** Limits of the machine as the platform names them, for example `memoryMb`. */
@@ -85,7 +87,7 @@
   Fs.writeFileSync(path, formatSettings(opts));
   const child = ChildProcess.spawn(
     process.execPath,
-    [...NODE_ARGS, ...opts.nodeArgs ?? [], MAIN],
+    [...NODE_ARGS, ...opts.nodeArgs ?? [], opts.main ?? MAIN],
     {
       env: { ...process.env, ANVILROUTE_CONFIG: path },
       stdio: ["ignore", "pipe", "inherit"],
