--- a/testing/bench/profile.ts
+++ b/testing/bench/profile.ts
@@ -61,6 +61,7 @@
   { name: "log and metrics", files: /src\/(log|metrics)|gateway\/request_log/ },
   { name: "other modules", files: /\/(src|node_modules)\// },
 ];
+const HTTP_SERVER = "HTTP server";
 const COLLECTOR = "garbage collector";
 const TIMERS = "timers";
 const RUNTIME = "runtime";
@@ -68,6 +69,7 @@
 /** Names of all parts, in the order of the tables. */
 export const partNames: readonly string[] = [
   ...PARTS.map(({ name }) => name),
+  HTTP_SERVER,
   COLLECTOR,
   TIMERS,
   RUNTIME,
@@ -78,6 +80,9 @@
 
 function tryGetOwnPart({ functionName, url }: CallFrame): string | undefined {
   if (functionName === "(garbage collector)") return COLLECTOR;
+  // The parser runs beneath the gate of client connections, or directly beneath the socket.
+  const isParser = url === "" && functionName === "execute";
+  if (isParser || url.startsWith("node:_http_")) return HTTP_SERVER;
   return PARTS.find(({ files }) => files.test(url))?.name;
 }
 
--- a/tests/bench_parts_test.ts
+++ b/tests/bench_parts_test.ts
@@ -14,7 +14,7 @@
 describe("processor time by part", () => {
   const profile: Profile.Profile = {
     nodes: [
-      createNode(1, "(root)", "", [2, 3, 4, 7, 8]),
+      createNode(1, "(root)", "", [2, 3, 4, 7, 8, 9]),
       createNode(2, "(idle)", ""),
       createNode(3, "(garbage collector)", ""),
       createNode(4, "processTimers", "node:internal/timers", [5]),
@@ -22,9 +22,12 @@
       createNode(6, "write", "node:net"),
       createNode(7, "onread", "node:net"),
       createNode(8, "choose", "file:///a/dist/src/gateway/choice.js"),
+      createNode(9, "parse", "file:///a/dist/src/connection_gate.js", [10]),
+      createNode(10, "execute", "", [11]),
+      createNode(11, "emit", "node:events"),
     ],
-    samples: [2, 3, 4, 5, 6, 7, 8],
-    timeDeltas: [1_000, 1, 2, 4, 8, 16, 32],
+    samples: [2, 3, 4, 5, 6, 7, 8, 9, 10, 11],
+    timeDeltas: [1_000, 1, 2, 4, 8, 16, 32, 64, 128, 256],
   };
 
   it("counts a function of the runtime to the module that called it, and no idle time", () => {
@@ -36,6 +39,8 @@
       "store reader": 12,
       "runtime": 16,
       "choice of targets": 32,
+      "client connections": 64,
+      "HTTP server": 384,
     });
     expect([...times.keys()]).toEqual(Profile.partNames);
   });
