Bound the garbage of the daemon's heap by its live data

Cause, from a trace every 20 ms: 188 of 290 MB are the old generation of the heap, of which a collection leaves 26 MB. V8 chose when to collect it from the memory of the machine; the daemon sets no bound. Requests that wait for a target or their client become garbage there.

Change: the old generation grows by at most as much as lives in it.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,6 +5,7 @@
 import * as Log from "../log.ts";
 import * as ResultCodes from "../result_codes.ts";
 import * as Settings from "../settings/settings.ts";
+import * as Heap from "./heap.ts";
 import * as InstanceModule from "./instance.ts";
 
 const EXIT_FAILED = 1;
@@ -30,6 +31,7 @@
 }
 
 async function run(path: string): Promise<void> {
+  Heap.limitGarbage();
   const cfg = readSettings(path);
   const log = Log.createLogger(cfg.log.level, { instance: cfg.instance.id });
   process.on("unhandledRejection", (err) => {
