Bound what the daemon buffers of all request bodies

KNOWN-RED: a daemon withstands a crowd at a route that sends bodies that stop short of their end, in one piece and in chunks; 257 to 310 MB of 250.

Cause, from a trace every 20 ms: a body was bounded by limits.buffer_bytes, the sum by nothing (300 bodies, 80 to 100 MB), and chunked bodies were received in blocks and copied, up to 60 MB that awaited collection.

Change: src/counted_body.ts, taken out of the gateway's path, counts and holds the bodies of both paths; the daemon's sum is the new setting limits.bodies_bytes, 48 MB. What doesn't fit is refused as not run (code 135). The run of an at-most-once request keeps its body when the caller leaves, and a body that was given up can't pass for a complete one. memory_budget.ts moves out of gateway/, what it knew of the machine into process_memory.ts.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -84,7 +84,7 @@
 
 interface PreparedRequest {
   readonly ctx: Context.Context;
-  /** Stops the deadline timer; call it when the request has ended. */
+  /** Stops the deadline timer and releases the body; call it when the request has ended. */
   dispose(): void;
 }
 
@@ -135,18 +135,22 @@
     () => start.abort.abort(DEADLINE_EXPIRED),
     Math.max(1, Math.ceil(remainingMs)),
   );
-  const dispose = () => clearTimeout(timer);
-  const body = await Body.readBody(req, deps.limits, start.abort.signal);
-  if (body.isErr()) {
-    dispose();
-    return rejectNotRun(body.error);
+  const received = await Body.readBody(req, deps.limits, start.abort.signal);
+  if (received.isErr()) {
+    clearTimeout(timer);
+    return rejectNotRun(received.error);
   }
+  const { body, keepUntil, release } = received.value;
+  const dispose = () => {
+    clearTimeout(timer);
+    release();
+  };
   const { account } = caller.value;
   const fingerprint = Context.getFingerprint(
     account,
     method,
     route,
-    body.value,
+    body,
     deps.limits,
   );
   // On `once` routes the ledger is consulted before the poison block, see `OnceRun.serveAsOwner`.
@@ -167,7 +171,8 @@
     route,
     rules,
     caller: caller.value,
-    body: body.value,
+    body,
+    keepBodyUntil: keepUntil,
     isOnce,
     fingerprint,
     startedAtMs: start.startedAtMs,
--- a/src/admission/context.ts
+++ b/src/admission/context.ts
@@ -72,6 +72,8 @@
   readonly rules: Types.ServiceRules;
   readonly caller: Caller;
   readonly body: Body.RequestBody;
+  /** Keeps the body until `use` has settled, if that is after the request has ended. */
+  readonly keepBodyUntil: Body.ReceivedBody["keepUntil"];
   readonly isOnce: boolean;
   readonly fingerprint: string;
   /** Monotonic ms. */
@@ -100,7 +102,7 @@
   method: string,
   route: Path.RequestPath,
   body: Body.RequestBody,
-  { bufferBytes }: Body.BodyLimits,
+  { bufferBytes }: Pick<Body.BodyLimits, "bufferBytes">,
 ): string {
   const fields = [account, method, route.service, route.path, route.query];
   return Fingerprint.createFingerprint(fields, getStart(body, bufferBytes));
--- a/src/admission/once_run.ts
+++ b/src/admission/once_run.ts
@@ -79,6 +79,7 @@
     claimedRun,
     AbortSignal.timeout(Math.ceil(timeoutMs)),
   );
+  ctx.keepBodyUntil(completion);
   const result = await Promise.race([completion, waitForAbort(ctx.signal)]);
   if (result === undefined) {
     return Shared.rejectWithCode(ctx, "deadlinePassed", "unknown");
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -18,6 +18,7 @@
 import * as Keys from "../keys/keys.ts";
 import type * as Log from "../log.ts";
 import * as Lookup from "../lookup/lookup.ts";
+import * as MemoryBudget from "../memory_budget.ts";
 import * as LatencyEncoding from "../metrics/latency_encoding.ts";
 import * as Metrics from "../metrics/metrics.ts";
 import * as Handover from "../once/handover.ts";
@@ -164,6 +165,7 @@
     peers,
     log,
   });
+  const bodyMemory = MemoryBudget.createMemoryBudget(cfg.limits.bodiesBytes);
   const deps: Context.Deps = {
     region,
     config,
@@ -196,6 +198,7 @@
     limits: {
       maxBytes: cfg.limits.maxBodyBytes,
       bufferBytes: cfg.limits.bufferBytes,
+      memory: bodyMemory,
     },
     findRoute: Table.findRoute,
   };
@@ -256,6 +259,7 @@
     PEER_USAGE_INTERVAL_MS,
     () => {
       metrics.gauge("clientConnections", callerLimits.gate.getCount());
+      metrics.gauge("bodyBytes", bodyMemory.getBytes());
       metrics.gauge("peerMessagesDiscarded", peers.getDiscardedCount());
       const usage = Drops.formatUsage(peers.getSendUsage());
       for (const [name, value] of Object.entries(usage)) {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,7 +3,7 @@
 import * as Cancellation from "./cancellation.ts";
 import * as Connections from "./connections.ts";
 import * as Exchange from "./exchange.ts";
-import type * as MemoryBudget from "./memory_budget.ts";
+import type * as MemoryBudget from "../memory_budget.ts";
 import type * as TargetReach from "./target_reach.ts";
 import type * as Types from "../types.ts";
 import type * as GatewayTypes from "./types.ts";
--- a/src/gateway/body.ts
+++ b/src/gateway/body.ts
@@ -1,10 +1,7 @@
 /** Reads the body of a caller's request up to the configured size limit. */
 import type * as Http from "node:http";
-import * as ReleasableBuffer from "../releasable_buffer.ts";
-import type * as MemoryBudget from "./memory_budget.ts";
-
-/** Most that a body takes besides while it arrives: what is not parsed yet, and copies in the parser that await collection. */
-const MAX_TRANSIENT_BYTES = 256 * 1024;
+import * as CountedBody from "../counted_body.ts";
+import type * as MemoryBudget from "../memory_budget.ts";
 
 /** Outcome of reading a body; `data` is undefined if the request has none. */
 export type BodyResult =
@@ -39,32 +36,26 @@
     });
   }
   return new Promise((resolve) => {
-    const body = ReleasableBuffer.createReleasableBuffer(maxBytes, length);
-    const holding = memory.open(() => stop({ kind: "no-memory" }));
+    const body = CountedBody.createCountedBody({
+      memory,
+      maxBytes,
+      expectedBytes: length,
+      onGivenUp: () => stop({ kind: "no-memory" }),
+    });
 
-    function updateHolding(): void {
-      const bytes = Math.max(length, body.getHeldBytes());
-      holding.set(bytes + Math.min(bytes, MAX_TRANSIENT_BYTES));
-    }
     function onData(chunk: Buffer): void {
       const bytes = body.getBytes() + chunk.length;
-      if (bytes > maxBytes) return stop({ kind: "too-large" });
-      if (!body.tryAppend(chunk)) return stop({ kind: "no-memory" });
-      updateHolding();
+      if (bytes > maxBytes) stop({ kind: "too-large" });
+      else if (!body.tryAppend(chunk)) stop({ kind: "no-memory" });
     }
     function removeListeners(): void {
       req.off("data", onData).off("end", onEnd).off("close", onClose);
     }
     function onEnd(): void {
+      const data = body.tryComplete();
+      if (data === undefined) return stop({ kind: "no-memory" });
       removeListeners();
-      holding.keep();
-      body.seal();
-      holding.set(body.getHeldBytes());
-      resolve({ kind: "complete", data: body.getData(), release });
-    }
-    function release(): void {
-      holding.close();
-      body.release();
+      resolve({ kind: "complete", data, release: body.release });
     }
     function onClose(): void {
       stop({ kind: "disconnected" });
@@ -72,13 +63,12 @@
     /** Discards the rest of the body, so that the caller reads the response. */
     function stop(result: BodyResult): void {
       removeListeners();
-      release();
+      body.release();
       req.resume();
       resolve(result);
     }
 
     req.on("data", onData).once("end", onEnd).once("close", onClose);
-    // What is declared counts at once: a body that can't be kept is rejected before it arrives.
-    updateHolding();
+    body.reserve();
   });
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,7 +7,7 @@
 import * as ResponseGuard from "../response_guard.ts";
 import type * as Cancellation from "./cancellation.ts";
 import * as Connections from "./connections.ts";
-import type * as MemoryBudget from "./memory_budget.ts";
+import type * as MemoryBudget from "../memory_budget.ts";
 import type * as GatewayTypes from "./types.ts";
 
 /** Status that a server sends when it closes a connection on which no request arrived before a timeout. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,7 @@
 /** Composition of a gateway instance: the order in which its modules start, and its graceful stop. */
 import * as Clock from "../clock.ts";
 import * as Log from "../log.ts";
+import * as MemoryBudget from "../memory_budget.ts";
 import * as ConnectionGate from "../connection_gate.ts";
 import * as ConnectionLimits from "../connection_limits.ts";
 import * as Metrics from "../metrics/metrics.ts";
@@ -23,10 +24,10 @@
 import * as ReadBarrier from "./read_barrier.ts";
 import * as ReadDelay from "./read_delay.ts";
 import * as Placement from "./placement.ts";
+import * as ProcessMemory from "./process_memory.ts";
 import * as Relay from "./relay.ts";
 import * as RequestLog from "./request_log.ts";
 import * as Responder from "./responder.ts";
-import * as MemoryBudget from "./memory_budget.ts";
 import * as Servers from "./servers.ts";
 import type * as Settings from "./settings.ts";
 import * as Split from "./split.ts";
@@ -171,7 +172,7 @@
     MAX_RESPONSE_BYTES,
   );
   const bodyMemory = MemoryBudget.createMemoryBudget(
-    MemoryBudget.getBodyBytes(instance.memoryBytes),
+    ProcessMemory.getBodyBytes(instance.memoryBytes),
   );
 
   /** Opens a connection to the target and keeps it for later requests. */
@@ -314,7 +315,7 @@
       metrics.gauge(name, value);
     }
     log.info("usage", usage);
-    if (uncountedBytes > MemoryBudget.UNCOUNTED_BYTES) {
+    if (uncountedBytes > ProcessMemory.UNCOUNTED_BYTES) {
       log.warn("memory-not-counted", { residentBytes, uncountedBytes });
     }
   }
--- a/src/gateway/pending_request.ts
+++ b/src/gateway/pending_request.ts
@@ -12,7 +12,7 @@
 import type * as Placement from "./placement.ts";
 import type * as Relay from "./relay.ts";
 import type * as RequestLog from "./request_log.ts";
-import type * as MemoryBudget from "./memory_budget.ts";
+import type * as MemoryBudget from "../memory_budget.ts";
 import type * as Split from "./split.ts";
 import type * as StateModule from "./state.ts";
 import type * as TargetLimits from "./target_limits.ts";
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -16,7 +16,7 @@
 import * as Directory from "./directory.ts";
 import * as Exchange from "./exchange.ts";
 import * as Rejection from "./rejection.ts";
-import type * as MemoryBudget from "./memory_budget.ts";
+import type * as MemoryBudget from "../memory_budget.ts";
 import type * as GatewayTypes from "./types.ts";
 
 /** Instances to which one request may be passed on. */
--- a/src/releasable_buffer.ts
+++ b/src/releasable_buffer.ts
@@ -11,7 +11,7 @@
  */
 import * as NodeBuffer from "node:buffer";
 
-/** Shorter bodies stay on the heap: a mapping takes several system calls. */
+/** Shorter bodies stay on the heap by default: a mapping takes several system calls. */
 const MAX_HEAP_BYTES = 64 * 1024;
 /** A body of unknown length grows to twice its size, by these bytes at least and at most. */
 const MIN_GROWTH_BYTES = 16 * 1024;
@@ -35,11 +35,12 @@
 
 /**
  * Creates an empty buffer for at most `maxBytes`. A body of `expectedBytes` is never
- * copied when it grows.
+ * copied when it grows. Up to `maxHeapBytes` it is left to the garbage collector.
  */
 export function createReleasableBuffer(
   maxBytes: number,
   expectedBytes = 0,
+  maxHeapBytes = MAX_HEAP_BYTES,
 ): ReleasableBuffer {
   const reservedBytes = Math.min(
     expectedBytes > 0 ? expectedBytes : maxBytes,
@@ -71,7 +72,7 @@
 
   function grow(bytes: number): void {
     const isInPlace = mapping !== undefined;
-    const grown = bytes > MAX_HEAP_BYTES
+    const grown = bytes > maxHeapBytes
       ? resizeMapping(bytes)
       : Buffer.allocUnsafeSlow(bytes);
     if (!isInPlace) memory.copy(grown, 0, 0, usedBytes);
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -55,6 +55,8 @@
   readonly limits: {
     readonly maxBodyBytes: number;
     readonly bufferBytes: number;
+    /** Memory for what is buffered of all request bodies. */
+    readonly bodiesBytes: number;
     readonly ledgerEntries: number;
     readonly ledgerBytes: number;
     /** Connections of callers and probes together. */
@@ -105,6 +107,24 @@
     lease.renewMs * 2 < lease.ttlMs,
     "less than half of lease.ttl_ms",
   );
+  const bufferBytes = r.integer(
+    "limits.buffer_bytes",
+    1_024,
+    16 * 1024 * 1024,
+    256 * 1024,
+  );
+  const bodiesBytes = r.integer(
+    "limits.bodies_bytes",
+    1024 * 1024,
+    1e9,
+    48 * 1024 * 1024,
+  );
+  r.require(
+    "limits.bodies_bytes",
+    bodiesBytes,
+    bodiesBytes >= bufferBytes * 4,
+    "four times limits.buffer_bytes or more",
+  );
   return {
     instance: {
       id: r.name("instance.id"),
@@ -148,12 +168,8 @@
         1e9,
         16 * 1024 * 1024,
       ),
-      bufferBytes: r.integer(
-        "limits.buffer_bytes",
-        1_024,
-        16 * 1024 * 1024,
-        256 * 1024,
-      ),
+      bufferBytes,
+      bodiesBytes,
       ledgerEntries: r.integer("limits.ledger_entries", 100, 1e7, 50_000),
       ledgerBytes: r.integer(
         "limits.ledger_bytes",
--- a/testing/fakes/request_path.ts
+++ b/testing/fakes/request_path.ts
@@ -10,6 +10,7 @@
 import * as Link from "../../src/forward/link.ts";
 import * as Exchange from "../../src/forward/exchange.ts";
 import * as Log from "../../src/log.ts";
+import * as MemoryBudget from "../../src/memory_budget.ts";
 import * as Handover from "../../src/once/handover.ts";
 import * as Relay from "../../src/once/relay.ts";
 import * as Tickets from "../../src/once/tickets.ts";
@@ -311,7 +312,11 @@
     },
     clock,
     log: quietLog,
-    limits: { maxBytes: 8 * 1024 * 1024, bufferBytes: 256 * 1024 },
+    limits: {
+      maxBytes: 8 * 1024 * 1024,
+      bufferBytes: 256 * 1024,
+      memory: MemoryBudget.createMemoryBudget(64 * 1024 * 1024),
+    },
     findRoute: Table.findRoute,
   };
   const listener = await Servers.startCallerListener(
--- a/tests/gateway/attempt_test.ts
+++ b/tests/gateway/attempt_test.ts
@@ -5,7 +5,7 @@
 import * as Attempt from "../../src/gateway/attempt.ts";
 import * as Cancellation from "../../src/gateway/cancellation.ts";
 import * as Connections from "../../src/gateway/connections.ts";
-import * as MemoryBudget from "../../src/gateway/memory_budget.ts";
+import * as MemoryBudget from "../../src/memory_budget.ts";
 
 describe("attempt at a target", () => {
   const closers: (() => void)[] = [];
--- a/tests/gateway/body_test.ts
+++ b/tests/gateway/body_test.ts
@@ -3,7 +3,7 @@
 import { describe, expect, it, vi } from "vitest";
 import * as ProductBody from "../../src/forward/body.ts";
 import * as Body from "../../src/gateway/body.ts";
-import * as MemoryBudget from "../../src/gateway/memory_budget.ts";
+import * as MemoryBudget from "../../src/memory_budget.ts";
 import * as Heap from "../support/heap.ts";
 
 const CHUNKS = 300_000;
@@ -51,11 +51,13 @@
   });
 
   it("uses little more memory than its size on the product's own path", async () => {
-    const limits = { maxBytes: 1_000_000, bufferBytes: 1_000_000 };
+    const memory = MemoryBudget.createMemoryBudget(2_000_000);
+    const limits = { maxBytes: 1_000_000, bufferBytes: 1_000_000, memory };
     const { signal } = new AbortController();
     const body = await receive(async (req) => {
-      const result = (await ProductBody.readBody(req, limits, signal)).unwrap();
-      return result.kind === "whole" ? result.data : undefined;
+      const { body } = (await ProductBody.readBody(req, limits, signal))
+        .unwrap();
+      return body.kind === "whole" ? body.data : undefined;
     });
     expect(body).toHaveLength(CHUNKS);
   });
--- a/tests/gateway/exchange_test.ts
+++ b/tests/gateway/exchange_test.ts
@@ -4,7 +4,7 @@
 import * as Cancellation from "../../src/gateway/cancellation.ts";
 import * as Connections from "../../src/gateway/connections.ts";
 import * as Exchange from "../../src/gateway/exchange.ts";
-import * as MemoryBudget from "../../src/gateway/memory_budget.ts";
+import * as MemoryBudget from "../../src/memory_budget.ts";
 import * as Heap from "../support/heap.ts";
 
 /** Starts a target that runs the next script for each chunk of data that it receives. */
--- a/tests/gateway/odd_responses_test.ts
+++ b/tests/gateway/odd_responses_test.ts
@@ -3,7 +3,7 @@
 import * as Clock from "../../src/clock.ts";
 import * as Cancellation from "../../src/gateway/cancellation.ts";
 import * as Connections from "../../src/gateway/connections.ts";
-import * as MemoryBudget from "../../src/gateway/memory_budget.ts";
+import * as MemoryBudget from "../../src/memory_budget.ts";
 import * as Relay from "../../src/gateway/relay.ts";
 import * as Odd from "../support/odd_status_lines.ts";
 import * as Rig from "../support/gateway_rig.ts";
--- a/tests/gateway/relay_test.ts
+++ b/tests/gateway/relay_test.ts
@@ -7,7 +7,7 @@
 import * as Connections from "../../src/gateway/connections.ts";
 import type * as Directory from "../../src/gateway/directory.ts";
 import * as Relay from "../../src/gateway/relay.ts";
-import * as MemoryBudget from "../../src/gateway/memory_budget.ts";
+import * as MemoryBudget from "../../src/memory_budget.ts";
 
 describe("relay of requests to other instances", () => {
   const cleanups: (() => void)[] = [];
--- a/tests/gateway/memory_budget_test.ts
+++ b/tests/memory_budget_test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "vitest";
-import * as MemoryBudget from "../../src/gateway/memory_budget.ts";
+import * as ProcessMemory from "../src/gateway/process_memory.ts";
+import * as MemoryBudget from "../src/memory_budget.ts";
 
 describe("memory of responses that are being received", () => {
   // Load pattern: three targets send without end beside ordinary responses. Guards
@@ -57,8 +58,8 @@
   // Guards against a share that, beside the process and its read buffers, exceeds a small machine.
   it("is what the process and its read buffers leave, and holds the longest body by default on 250 MB", () => {
     const longestBytes = 64 * 1_024 * 1_024;
-    expect(MemoryBudget.getBodyBytes(250e6)).toBeGreaterThan(longestBytes);
-    expect(MemoryBudget.getBodyBytes(150e6)).toBeLessThan(150e6 - 107e6);
-    expect(MemoryBudget.getBodyBytes(80e6)).toBeGreaterThan(0);
+    expect(ProcessMemory.getBodyBytes(250e6)).toBeGreaterThan(longestBytes);
+    expect(ProcessMemory.getBodyBytes(150e6)).toBeLessThan(150e6 - 107e6);
+    expect(ProcessMemory.getBodyBytes(80e6)).toBeGreaterThan(0);
   });
 });
--- a/tests/poison_reports_test.ts
+++ b/tests/poison_reports_test.ts
@@ -5,6 +5,7 @@
 import * as Context from "../src/admission/context.ts";
 import * as Body from "../src/forward/body.ts";
 import * as Path from "../src/forward/path.ts";
+import * as MemoryBudget from "../src/memory_budget.ts";
 import * as Connection from "../src/peer/connection.ts";
 import * as Fingerprint from "../src/retry/fingerprint.ts";
 import * as Reports from "../src/retry/poison_reports.ts";
@@ -57,7 +58,8 @@
 });
 
 describe("fingerprints of requests with a streamed body", () => {
-  const limits = { bufferBytes: 1_000, maxBytes: 10_000 };
+  const memory = MemoryBudget.createMemoryBudget(100_000);
+  const limits = { bufferBytes: 1_000, maxBytes: 10_000, memory };
   const { signal } = new AbortController();
 
   /** Returns the fingerprint of a request whose body arrives in these chunks. */
@@ -65,7 +67,7 @@
     const req = Object.assign(Stream.Readable.from(chunks), {
       headers: { "transfer-encoding": "chunked" },
     }) as unknown as Http.IncomingMessage;
-    const body = (await Body.readBody(req, limits, signal)).unwrap();
+    const { body } = (await Body.readBody(req, limits, signal)).unwrap();
     expect(body.kind).toBe("stream");
     const route = Path.parsePath("/s/bookings/holds").unwrap();
     return Context.getFingerprint("hut", "POST", route, body, limits);
