Ask receivers whether they would take shards before a planned stop names them

Cause, from a trace of: a newcomer that registers while the leaving instance lists the members gets the shards' records, but refuses the transfer, as it doesn't know the tables in use. Rebalancing asked before, the planned stop didn't.

Change: the leaving instance asks all receivers, in parallel, and releases what nobody would take. Nothing is asked in calm.

--- a/src/budget/ownership.ts
+++ b/src/budget/ownership.ts
@@ -137,7 +137,7 @@
   ): Promise<void> {
     if (!canClaim(step.kind)) return;
     if (step.kind === "take-over" && step.from !== deps.self) {
-      const response = await queryHolder(step.from, shard);
+      const response = await queryHolder(step.from, [shard]);
       if (response?.isValid && response.held.includes(shard)) return;
     }
     const failuresBefore = health.getFailures();
@@ -156,14 +156,31 @@
     startShard(shard, epoch, { kind });
   }
 
-  function queryHolder(id: Types.InstanceId, shard: number) {
-    return Confirm.queryHeldShards(peers, id, domain, [shard], CALL_TIMEOUT_MS);
+  function queryHolder(id: Types.InstanceId, shards: readonly number[]) {
+    return Confirm.queryHeldShards(peers, id, domain, shards, CALL_TIMEOUT_MS);
   }
 
   function getReceivers(): readonly Types.InstanceId[] {
     return ShardPlan.listReceivers(store.getMembers(), peers);
   }
 
+  /**
+   * Returns the receivers that would take a shard. One that is not ready would leave
+   * it unused for a lease period, where any instance may claim a released one.
+   */
+  async function queryReadyReceivers(
+    shards: readonly number[],
+  ): Promise<ReadonlySet<Types.InstanceId>> {
+    const ready = new Set<Types.InstanceId>();
+    await Promise.all(
+      getReceivers().map(async (id) => {
+        const response = await queryHolder(id, shards);
+        if (response?.canReceive) ready.add(id);
+      }),
+    );
+    return ready;
+  }
+
   async function rebalance(
     entries: ReadonlyMap<number, ShardPlan.ShardEntry>,
   ): Promise<void> {
@@ -173,8 +190,7 @@
     const shard = allocations.getShards()[0];
     if (receiver === undefined || shard === undefined) return;
     wasBusy = true;
-    // A receiver that is not ready would leave the shard unused for a while.
-    const response = await queryHolder(receiver, shard);
+    const response = await queryHolder(receiver, [shard]);
     if (response?.canReceive) await transferShard(shard, receiver);
   }
 
@@ -267,8 +283,11 @@
     const counts = new Map(
       ShardPlan.countShards(storeEntries, store.getMembers()),
     );
-    for (const shard of allocations.getShards()) {
-      const receiver = ShardPlan.chooseReceiver(counts, getReceivers());
+    const shards = allocations.getShards();
+    const ready = await queryReadyReceivers(shards);
+    for (const shard of shards) {
+      const receivers = getReceivers().filter((id) => ready.has(id));
+      const receiver = ShardPlan.chooseReceiver(counts, receivers);
       if (receiver !== undefined) {
         counts.set(receiver, (counts.get(receiver) ?? 0) + 1);
         await transferShard(shard, receiver);
--- a/tests/shards_test.ts
+++ b/tests/shards_test.ts
@@ -247,6 +247,24 @@
     expect(fleet.budgets("a2").getShards()).toHaveLength(8);
   });
 
+  // Guards against limits without shards for a lease period after a planned stop, when a newcomer could not take them yet.
+  it.each([1362068, 3737768, 5250297])(
+    "an instance that leaves transfers none to a newcomer that is not ready (seed %i)",
+    async (seed) => {
+      const fleet = Quiet.createQuietFleet({ seed });
+      await fleet.start("a1", "b1");
+      const next = Tables.createTable(2, Quiet.REGIONS, Quiet.CELLS);
+      fleet.setTable("a1", next);
+      const { budgets } = fleet.get("a1");
+      void budgets.transferAll().then(() => budgets.stop());
+      fleet.addInstance("a2", "da", next);
+      await fleet.time.advance(4_300);
+      expect(fleet.budgets("a2").getShards()).toEqual([]);
+      await fleet.time.advance(3_000);
+      expect(fleet.budgets("a2").getShards()).toHaveLength(8);
+    },
+  );
+
   it("a restarted instance does not wait for a table change that its peers report as settled", async () => {
     const fleet = Quiet.createQuietFleet();
     await fleet.start("a1", "b1");
